Serve a call from a caller through two nodes to an upstream

Cause: the repository was empty.

Change: decisions as plain structs in bbv-core, messages and their codec in bbv-wire, the node over ports made of closures in bbv-node (HTTP by salvo in, QUIC with mutual TLS between nodes, reqwest to the upstream), and stand-ins of the platform and of an upstream in bbv-trial.

Before: nothing ran. After: three tests over real sockets pass (a call that crosses two nodes, a resend that replays its answer, bad input refused with a reason), and 77 doc examples.

--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library for callers.
--- /dev/null
+++ b/crates/core/benches/pick.rs
@@ -0,0 +1,3 @@
+//! Cost of a pick.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/catalogue/service.rs
@@ -0,0 +1,54 @@
+//! Services of the catalogue.
+
+use serde::Serialize;
+
+use super::reader::Reader;
+use crate::gate::Bounds;
+use crate::ramp::Warmup;
+use crate::units::MS;
+
+/// A set of upstreams that run the same calls.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Service {
+    /// Name.
+    pub name: String,
+    /// Concurrent requests that one warm upstream bears.
+    pub slots: u64,
+    /// Connections that one upstream bears.
+    pub connections: u64,
+    /// Concurrent requests that one cold upstream bears.
+    pub cold_slots: u64,
+    /// Time in milliseconds until a cold upstream bears all its slots.
+    pub warmup_ms: u64,
+    /// Latency of an unloaded upstream in milliseconds.
+    pub usual_ms: u64,
+}
+
+impl Service {
+    /// Reads a service from a mapping.
+    pub fn read(item: &mut Reader<'_>) -> Self {
+        let service = Service {
+            name: item.text("name"),
+            slots: item.uint("slots", 1..=10_000),
+            connections: item.uint("connections", 1..=100_000),
+            cold_slots: item.uint("cold_slots", 1..=10_000),
+            warmup_ms: item.uint("warmup_ms", 0..=600_000),
+            usual_ms: item.uint("usual_ms", 1..=60_000),
+        };
+        if service.cold_slots > service.slots && service.slots > 0 {
+            let message = format!("{} is above slots {}", service.cold_slots, service.slots);
+            item.fault("cold_slots", message);
+        }
+        service
+    }
+
+    /// Bounds of one upstream of the service.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            slots: self.slots as u32,
+            connections: self.connections as u32,
+            warmup: Warmup { cold_slots: self.cold_slots as u32, time: self.warmup_ms * MS },
+            usual: self.usual_ms * MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate.rs
@@ -0,0 +1,287 @@
+//! Admission to one upstream from exact local knowledge.
+
+use std::collections::BTreeMap;
+
+use crate::limit::{Finish, Limit};
+use crate::outcome::Refusal;
+use crate::pool::Load;
+use crate::queue::{Ask, Class, Owner, Queue};
+use crate::ramp::{Ramp, Warmup};
+use crate::units::Micros;
+
+/// What an upstream bears, from the catalogue.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Concurrent requests.
+    pub slots: u32,
+    /// Open connections.
+    pub connections: u32,
+    /// Warm-up after a cold start.
+    pub warmup: Warmup,
+    /// Latency of an unloaded upstream, used before the first answer.
+    pub usual: Micros,
+}
+
+/// Answer of the gate to a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admit {
+    /// Run it now.
+    Run,
+    /// Wait for [`Gate::poll`] to name it.
+    Wait,
+    /// It is not run.
+    Refuse(Refusal),
+}
+
+/// Decision about a request that waited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Run it now.
+    Run(u64),
+    /// It is not run.
+    Refuse(u64, Refusal),
+}
+
+/// The only door to an upstream.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    bounds: Bounds,
+    limit: Limit,
+    ramp: Ramp,
+    queue: Queue,
+    running: u32,
+    owners: BTreeMap<Owner, u32>,
+    starts: Vec<(u64, Micros)>,
+    slow_run: u32,
+    instance: Option<u64>,
+    closed: Option<Refusal>,
+}
+
+const COLD_FACTOR: u64 = 4;
+const COLD_RUN: u32 = 3;
+
+impl Gate {
+    /// Creates the gate of an upstream that is taken to be cold at `now`.
+    ///
+    /// ```
+    /// use bbv_core::{gate::{Bounds, Gate}, ramp::Warmup};
+    /// let warmup = Warmup { cold_slots: 1, time: 1_000 };
+    /// let gate = Gate::new(Bounds { slots: 9, connections: 200, warmup, usual: 5_000 }, 0);
+    /// assert_eq!(gate.allowed(0), 1);
+    /// ```
+    pub fn new(bounds: Bounds, now: Micros) -> Self {
+        Gate {
+            limit: Limit::new(bounds.slots),
+            ramp: Ramp::new(bounds.slots, bounds.warmup, now),
+            queue: Queue::default(),
+            running: 0,
+            owners: BTreeMap::new(),
+            starts: Vec::new(),
+            slow_run: 0,
+            instance: None,
+            closed: None,
+            bounds,
+        }
+    }
+
+    /// Bounds in force.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Applies changed bounds from the catalogue; a larger bound is ramped up to.
+    pub fn rebound(&mut self, bounds: Bounds, now: Micros) {
+        if bounds == self.bounds {
+            return;
+        }
+        self.bounds = bounds;
+        self.limit = Limit::new(bounds.slots);
+        self.ramp = Ramp::new(bounds.slots, bounds.warmup, now);
+    }
+
+    /// Refuses new work with `reason`, or accepts it again with `None`.
+    ///
+    /// Requests already running or waiting are not affected.
+    pub fn close(&mut self, reason: Option<Refusal>) {
+        self.closed = reason;
+    }
+
+    /// Restarts the warm-up, for a zone or VM that returns to service.
+    pub fn chill(&mut self, now: Micros) {
+        self.ramp.chill(now);
+        self.limit.reset();
+        self.slow_run = 0;
+    }
+
+    /// Concurrent requests allowed at `now`.
+    pub fn allowed(&self, now: Micros) -> u32 {
+        let cap = self.bounds.slots.min(self.bounds.connections);
+        self.limit.current().min(self.ramp.limit(now)).min(cap).max(1)
+    }
+
+    /// Requests running on the upstream.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Decides about a new request.
+    ///
+    /// ```
+    /// use bbv_core::{gate::*, queue::{Ask, Class}, ramp::Warmup};
+    /// let warmup = Warmup { cold_slots: 1, time: 1_000 };
+    /// let bounds = Bounds { slots: 9, connections: 200, warmup, usual: 5_000 };
+    /// let mut gate = Gate::new(bounds, 0);
+    /// let ask = Ask { id: 1, class: Class::Critical, owner: 0, share: 1.0, deadline: 90_000 };
+    /// assert_eq!(gate.offer(0, ask), Admit::Run);
+    /// ```
+    pub fn offer(&mut self, now: Micros, ask: Ask) -> Admit {
+        if let Some(reason) = self.closed {
+            return Admit::Refuse(reason);
+        }
+        let allowed = self.allowed(now);
+        if self.running < allowed && self.queue.is_empty() {
+            self.start(now, ask.id, ask.owner);
+            return Admit::Run;
+        }
+        if let Some(reason) = self.no_room(now, allowed, &ask) {
+            return Admit::Refuse(reason);
+        }
+        self.queue.push(ask);
+        Admit::Wait
+    }
+
+    fn no_room(&self, now: Micros, allowed: u32, ask: &Ask) -> Option<Refusal> {
+        let room = self.room(allowed, ask.class);
+        if self.queue.len() >= room {
+            return Some(Refusal::Overload);
+        }
+        let mine = (room as f64 * ask.share).ceil() as usize;
+        let held = self.owners.get(&ask.owner).copied().unwrap_or(0);
+        let over = f64::from(held) >= (f64::from(allowed) * ask.share).max(1.0);
+        if over && self.queue.of_owner(ask.owner) >= mine {
+            return Some(Refusal::Overload);
+        }
+        let service = self.service();
+        let wait = service * (self.queue.len() as u64 + 1) / u64::from(allowed.max(1));
+        (now + wait + service > ask.deadline).then_some(Refusal::Deadline)
+    }
+
+    /// Waiting places by class, so that the lowest class is refused first.
+    fn room(&self, allowed: u32, class: Class) -> usize {
+        let full = (allowed as usize).max(2);
+        match class {
+            Class::Critical => full,
+            Class::Interactive => (full * 3).div_ceil(4),
+            Class::Batch => full.div_ceil(3),
+        }
+    }
+
+    fn service(&self) -> Micros {
+        match self.limit.latency() {
+            0 => self.bounds.usual,
+            latency => latency,
+        }
+    }
+
+    fn start(&mut self, now: Micros, id: u64, owner: Owner) {
+        self.running += 1;
+        *self.owners.entry(owner).or_insert(0) += 1;
+        self.starts.push((id, now));
+    }
+
+    /// Records that a running request ended.
+    ///
+    /// `instance` is the upstream's own name for its process, when it gives one; a
+    /// change means that it restarted and is cold.
+    pub fn finish(
+        &mut self,
+        now: Micros,
+        id: u64,
+        owner: Owner,
+        finish: Finish,
+        instance: Option<u64>,
+    ) {
+        self.release(id, owner);
+        let restarted = instance.is_some() && self.instance.is_some() && instance != self.instance;
+        self.instance = instance.or(self.instance);
+        if restarted || self.turned_cold(&finish) {
+            self.chill(now);
+            return;
+        }
+        if finish.good {
+            self.ramp.succeed();
+        }
+        self.limit.finish(now, finish);
+    }
+
+    fn turned_cold(&mut self, finish: &Finish) -> bool {
+        let base = self.limit.baseline();
+        let slow = finish.good && base > 0 && finish.latency > COLD_FACTOR * base;
+        self.slow_run = if slow { self.slow_run + 1 } else { 0 };
+        self.slow_run >= COLD_RUN
+    }
+
+    /// Records that a running request was cancelled; nothing is learned from it.
+    pub fn release(&mut self, id: u64, owner: Owner) {
+        self.starts.retain(|(other, _)| *other != id);
+        self.running = self.running.saturating_sub(1);
+        if let Some(held) = self.owners.get_mut(&owner) {
+            *held = held.saturating_sub(1);
+        }
+    }
+
+    /// Records that the connection to the upstream broke: it crashed or restarted.
+    pub fn lost(&mut self, now: Micros, id: u64, owner: Owner) {
+        self.finish(now, id, owner, Finish { latency: 0, good: false }, None);
+        self.chill(now);
+    }
+
+    /// Removes a request that still waits; returns whether it did.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        self.queue.cancel(id)
+    }
+
+    /// Appends the decisions that became due about waiting requests.
+    pub fn poll(&mut self, now: Micros, steps: &mut Vec<Step>) {
+        while let Some(ask) = self.queue.expire(now) {
+            steps.push(Step::Refuse(ask.id, Refusal::Deadline));
+        }
+        while self.running < self.allowed(now) {
+            let owners = &self.owners;
+            let next = self.queue.pop(|owner| owners.get(&owner).copied().unwrap_or(0));
+            let Some(ask) = next else { break };
+            self.start(now, ask.id, ask.owner);
+            steps.push(Step::Run(ask.id));
+        }
+    }
+
+    /// Tells whether a request has run far longer than usual.
+    pub fn stalled(&self, now: Micros) -> bool {
+        let oldest = self.starts.first().map_or(0, |(_, at)| now.saturating_sub(*at));
+        oldest > COLD_FACTOR * self.service()
+    }
+
+    /// Tells whether the upstream bears all its slots.
+    pub fn warm(&self, now: Micros) -> bool {
+        self.ramp.warm(now)
+    }
+
+    /// Tells whether the upstream mostly fails.
+    pub fn failing(&self) -> bool {
+        self.limit.failing()
+    }
+
+    /// Load as reported to ingresses with each answer.
+    pub fn load(&self, now: Micros) -> Load {
+        let oldest = self.starts.first().map_or(0, |(_, at)| now.saturating_sub(*at));
+        Load {
+            running: self.running as u16,
+            queued: self.queue.len() as u16,
+            allowed: self.allowed(now) as u16,
+            service_us: self.service().min(u64::from(u32::MAX)) as u32,
+            oldest_us: oldest.min(u64::from(u32::MAX)) as u32,
+            failing_pct: (self.limit.failure_share() * 100.0) as u8,
+            closed: self.closed.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,53 @@
+//! Identities of VMs and of the processes on them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Number of a VM in the platform's list.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Vm(pub u32);
+
+impl fmt::Display for Vm {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "vm-{}", self.0)
+    }
+}
+
+/// One run of the node process on a VM.
+///
+/// A process that restarts at the same address has another incarnation.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct NodeId {
+    /// VM that the process runs on.
+    pub vm: Vm,
+    /// Random number drawn when the process starts.
+    pub incarnation: u64,
+}
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:x}", self.vm, self.incarnation)
+    }
+}
+
+/// Identity of one attempt: the ingress that sends it and a serial number there.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct AttemptId {
+    /// Node that sends the attempt.
+    pub node: NodeId,
+    /// Serial number, unique for that node.
+    pub serial: u64,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.node, self.serial)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions of the bluebellvale load balancer.
+//!
+//! Every part is a plain struct: the time and randomness come in as arguments and
+//! decisions go out as values. Nothing here performs I/O, reads a clock or locks.
+
+pub mod attempt;
+pub mod budget;
+pub mod catalogue;
+pub mod chart;
+pub mod fleet;
+pub mod gate;
+pub mod id;
+pub mod limit;
+pub mod operation;
+pub mod outcome;
+pub mod pool;
+pub mod queue;
+pub mod ramp;
+pub mod rank;
+pub mod spread;
+pub mod steer;
+pub mod suspect;
+pub mod tally;
+pub mod ticket;
+pub mod units;
--- /dev/null
+++ b/crates/core/tests/catalogue_files.rs
@@ -0,0 +1,3 @@
+//! Catalogue files.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Programs for operators.
--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,198 @@
+//! Configuration: reading the platform, and the exchange of changes with peers.
+
+use std::sync::Arc;
+
+use bbv_core::catalogue::check_document;
+use bbv_core::id::Vm;
+use bbv_core::spread::{Change, Since, Taken, is_reader};
+use bbv_core::units::{MS, Micros, Revision, SEC};
+use bbv_wire::{Ask, Reply};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::audit::Event;
+use crate::node::Node;
+use crate::ports::Published;
+
+const FANOUT: usize = 3;
+const READERS: usize = 2;
+const WATCH: Micros = 10 * SEC;
+const BACKOFF_MIN: Micros = 200 * MS;
+const BACKOFF_MAX: Micros = 10 * SEC;
+const IDLE_READER: Micros = SEC;
+
+impl Node {
+    /// Takes changes that a peer or the platform passed on, and passes new ones on.
+    pub(crate) fn take_changes(self: &Arc<Self>, changes: &[Change]) {
+        let taken = self.lock().spread.offer(changes, check_document);
+        self.apply(taken);
+    }
+
+    fn take_snapshot(self: &Arc<Self>, through: Revision, docs: &[Change]) {
+        let taken = self.lock().spread.snapshot(through, docs, check_document);
+        self.apply(taken);
+    }
+
+    pub(crate) fn take_published(self: &Arc<Self>, published: &Published) {
+        if published.snapshot {
+            self.take_snapshot(published.through, &published.changes);
+        } else {
+            self.take_changes(&published.changes);
+            self.take_snapshot(published.through, &[]);
+        }
+    }
+
+    fn take_since(self: &Arc<Self>, since: Since) {
+        match since {
+            Since::Changes(changes) => self.take_changes(&changes),
+            Since::Snapshot(through, docs) => self.take_snapshot(through, &docs),
+        }
+    }
+
+    fn apply(self: &Arc<Self>, taken: Vec<Taken>) {
+        if taken.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut push = Vec::new();
+        {
+            let mut state = self.lock();
+            let clock_ms = state.platform_ms(now);
+            for one in taken {
+                let (change, event, cause) = match one {
+                    Taken::InForce(change) => (change, Event::InForce, "accepted".to_owned()),
+                    Taken::Refused(change, reason) => (change, Event::Refused, reason),
+                };
+                if event == Event::InForce {
+                    state.catalogue.apply(&change);
+                } else {
+                    self.metrics.refused_docs.inc();
+                }
+                let delay = clock_ms.map(|ms| ms.saturating_sub(change.published_ms));
+                let delay = delay.filter(|_| change.published_ms > 0);
+                let (key, revision) = (change.key.clone(), change.revision);
+                state.audit.write_revision(now, event, &key, &cause, revision, delay);
+                push.push(change);
+            }
+            state.reconfigure(now);
+            self.metrics.revision.set(state.spread.through().cast_signed());
+        }
+        self.push(push);
+    }
+
+    /// Passes new changes on to a few peers at random.
+    fn push(self: &Arc<Self>, changes: Vec<Change>) {
+        if changes.len() > PUSH_MAX {
+            return;
+        }
+        for vm in self.random_peers(FANOUT) {
+            let node = Arc::clone(self);
+            let changes = changes.clone();
+            tokio::spawn(async move {
+                let _ = node.ask(vm, Ask::Push(changes)).await;
+            });
+        }
+    }
+
+    pub(crate) fn random_peers(&self, count: usize) -> Vec<Vm> {
+        let now = self.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let others = state.fleet.members().filter(|member| member.listed.vm != state.me.vm);
+        let reachable = others.filter(|member| state.fleet.reachable(now, member.listed.vm));
+        let vms: Vec<Vm> = reachable.map(|member| member.listed.vm).collect();
+        vms.choose_multiple(&mut state.rng, count).copied().collect()
+    }
+
+    /// Asks the node on `vm` for the changes that this node lacks.
+    pub(crate) async fn pull(self: &Arc<Self>, vm: Vm) {
+        let through = self.lock().spread.through();
+        let reply = self.ask(vm, Ask::Pull(through)).await;
+        self.lock().pulling = false;
+        if let Ok(Reply::Changes(since)) = reply {
+            self.take_since(since);
+            self.caught_up();
+        }
+    }
+
+    /// Asks the peers of the settings, before the list is known.
+    pub(crate) async fn pull_seeds(self: &Arc<Self>) {
+        for addr in &self.options.peers {
+            let through = self.lock().spread.through();
+            let ask = self.envelope(Ask::Pull(through));
+            let Ok(reply) = (self.ports.link)(*addr, ask).await else { continue };
+            if let Reply::Changes(since) = reply.reply {
+                self.take_since(since);
+            }
+        }
+        if self.lock().spread.through() > 0 {
+            self.caught_up();
+        }
+    }
+
+    pub(crate) fn caught_up(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        if state.spread.through() > 0 {
+            state.node_event(now, "caught_up");
+        }
+    }
+
+    /// Exchanges changes with a random peer once a second.
+    pub(crate) async fn exchange(self: Arc<Self>) {
+        let mut ticks = self.timer.every(SEC);
+        loop {
+            ticks.next().await;
+            if let [vm] = self.random_peers(1)[..] {
+                self.pull(vm).await;
+            }
+        }
+    }
+
+    fn reader(&self) -> bool {
+        let state = self.lock();
+        let zone = &state.zone;
+        let peers = state.fleet.members().filter(|m| m.listed.zone == *zone && !m.listed.leaving);
+        let vms: Vec<u64> = peers.map(|member| u64::from(member.listed.vm.0)).collect();
+        let me = u64::from(state.me.vm.0);
+        vms.is_empty() || is_reader(zone, me, &vms, READERS)
+    }
+
+    /// Watches the platform while this node is a reader of its zone.
+    pub(crate) async fn read_platform(self: Arc<Self>) {
+        let mut backoff = BACKOFF_MIN;
+        let mut first = true;
+        loop {
+            if !first && !self.reader() {
+                self.timer.sleep(IDLE_READER).await;
+                continue;
+            }
+            let through = self.lock().spread.through();
+            let wait = if first { 0 } else { WATCH };
+            self.metrics.platform_reads.inc();
+            let result = (self.ports.platform)(through, wait).await;
+            match result {
+                Ok(published) => {
+                    first = false;
+                    backoff = BACKOFF_MIN;
+                    self.take_published(&published);
+                    self.caught_up();
+                    if published.through < through {
+                        // The platform answers from an older state than is in force.
+                        self.timer.sleep(BACKOFF_MAX).await;
+                    }
+                }
+                Err(error) => {
+                    log::warn!("event=platform-read error={error:?}");
+                    // A node that has caught up from peers need not be a reader.
+                    first = first && self.lock().spread.through() == 0;
+                    let jitter = self.lock().rng.random_range(0..=backoff);
+                    self.timer.sleep(backoff / 2 + jitter).await;
+                    backoff = (backoff * 2).min(BACKOFF_MAX);
+                }
+            }
+        }
+    }
+}
+
+const PUSH_MAX: usize = 64;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,253 @@
+//! The node: its parts, and the dispatch of messages from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bbv_core::fleet::Heard;
+use bbv_core::id::{NodeId, Vm};
+use bbv_core::suspect::Crash;
+use bbv_core::units::{MS, Micros};
+use bbv_wire::{Ask, AskEnvelope, Reply, ReplyEnvelope};
+use parking_lot::{Mutex, MutexGuard};
+use rand::rngs::SmallRng;
+
+use crate::audit::Event;
+use crate::metrics::Metrics;
+use crate::ports::{LinkError, Ports};
+use crate::state::State;
+use crate::timer::Timer;
+
+/// Choice of a target by a baseline: service, VMs already tried, VMs in the list.
+pub type Pick = Box<dyn Fn(&str, &[Vm], &[Vm], &mut SmallRng) -> Option<Vm> + Send + Sync>;
+
+/// What a node is told when it starts.
+pub struct Options {
+    /// VM that it runs on.
+    pub vm: Vm,
+    /// Availability zone of the VM.
+    pub zone: String,
+    /// Service of the upstream beside it.
+    pub service: String,
+    /// Seed of its random numbers.
+    pub seed: u64,
+    /// Unexpired tickets that it may have outstanding.
+    pub tickets: usize,
+    /// Peers asked for the configuration before the list is known.
+    pub peers: Vec<SocketAddr>,
+    /// Wall clock in milliseconds at the start, only used to state delays.
+    pub wall_ms: Option<u64>,
+    /// Baseline in place of the node's own steering and admission.
+    pub baseline: Option<Pick>,
+}
+
+/// One node.
+pub struct Node {
+    pub(crate) options: Options,
+    pub(crate) ports: Ports,
+    pub(crate) timer: Timer,
+    pub(crate) metrics: Metrics,
+    state: Mutex<State>,
+    ticked: AtomicU64,
+}
+
+/// Lateness of a tick that means that the process was paused.
+pub(crate) const PAUSE: Micros = 500 * MS;
+
+impl Node {
+    /// Creates a node; [`Node::start`] runs its tasks.
+    pub fn new(options: Options, ports: Ports, timer: Timer) -> Arc<Self> {
+        let state = Mutex::new(State::new(&options, timer.now()));
+        let ticked = AtomicU64::new(timer.now());
+        Arc::new(Node { options, ports, timer, metrics: Metrics::new(), state, ticked })
+    }
+
+    /// Identity of this process.
+    pub fn id(&self) -> NodeId {
+        self.lock().me
+    }
+
+    /// Metrics of this node.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Clock of this node.
+    pub fn timer(&self) -> &Timer {
+        &self.timer
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock()
+    }
+
+    pub(crate) fn now(&self) -> Micros {
+        self.timer.now()
+    }
+
+    /// Tells whether the node takes new calls.
+    pub fn ready(&self) -> bool {
+        let state = self.lock();
+        state.phase_name() == "serving" && state.gate_open()
+    }
+
+    /// Records a tick, and the pause before it if there was one.
+    pub(crate) fn tick(&self, now: Micros) {
+        self.check_pause(now);
+        self.ticked.store(now, Ordering::Relaxed);
+    }
+
+    /// Marks everything known as stale when the last tick is long ago.
+    pub(crate) fn check_pause(&self, now: Micros) {
+        let last = self.ticked.load(Ordering::Relaxed);
+        if now.saturating_sub(last) <= PAUSE {
+            return;
+        }
+        self.ticked.store(now, Ordering::Relaxed);
+        let mut state = self.lock();
+        for steer in state.steers.values_mut() {
+            steer.forget();
+        }
+        state.node_event(now, "woke_late");
+        self.metrics.pauses.inc();
+    }
+
+    /// Wraps a request for a peer.
+    pub(crate) fn envelope(&self, ask: Ask) -> AskEnvelope {
+        let state = self.lock();
+        AskEnvelope {
+            from: state.me,
+            revision: state.spread.through(),
+            stopping: state.draining(),
+            ask,
+        }
+    }
+
+    /// Sends a request to the node on `vm` and learns from its reply.
+    pub(crate) async fn ask(self: &Arc<Self>, vm: Vm, ask: Ask) -> Result<Reply, LinkError> {
+        let addr = self.lock().fleet.member(vm).map(|member| member.listed.addr);
+        let Some(addr) = addr else { return Err(LinkError::Unsent(format!("{vm} is not listed"))) };
+        let sent = self.now();
+        match (self.ports.link)(addr, self.envelope(ask)).await {
+            Ok(reply) => {
+                self.learn(sent, &reply);
+                Ok(reply.reply)
+            }
+            Err(error) => {
+                self.metrics.link_errors.inc();
+                let mut state = self.lock();
+                let now = self.now();
+                state.fleet.failed(now, vm);
+                state.refresh_candidates(now);
+                Err(error)
+            }
+        }
+    }
+
+    /// Learns load, link time, liveness and revision from a reply.
+    fn learn(self: &Arc<Self>, sent: Micros, reply: &ReplyEnvelope) {
+        let now = self.now();
+        let vm = reply.from.vm;
+        self.heard(reply.from, reply.revision, reply.stopping);
+        let mut state = self.lock();
+        let service = state.fleet.member(vm).map(|member| member.listed.service.clone());
+        let Some(steer) = service.and_then(|name| state.steers.get_mut(&name)) else { return };
+        steer.learn(now, vm, reply.load);
+        let link = now.saturating_sub(sent).saturating_sub(reply.held);
+        steer.learn_link(vm, link);
+    }
+
+    /// Records a message of a peer; a newer revision there is pulled.
+    pub(crate) fn heard(self: &Arc<Self>, from: NodeId, revision: u64, stopping: bool) {
+        let now = self.now();
+        let behind = {
+            let mut state = self.lock();
+            let known = state.fleet.member(from.vm).map(|member| member.stopping);
+            let heard = state.fleet.heard(now, from, stopping);
+            if heard == Heard::Replaced {
+                state.audit.write(now, Event::PeerReplaced, &from.to_string(), "heard");
+            }
+            if heard == Heard::Replaced || known.is_some_and(|was| was != stopping) {
+                state.refresh_candidates(now);
+            }
+            let behind = revision > state.spread.through() && !state.pulling;
+            state.pulling |= behind;
+            behind
+        };
+        if behind {
+            let node = Arc::clone(self);
+            tokio::spawn(async move { node.pull(from.vm).await });
+        }
+    }
+
+    /// Handles a request of a peer.
+    pub async fn serve(self: &Arc<Self>, envelope: AskEnvelope) -> ReplyEnvelope {
+        let arrived = self.now();
+        self.check_pause(arrived);
+        let AskEnvelope { from, revision, stopping, ask } = envelope;
+        self.heard(from, revision, stopping);
+        let reply = self.dispatch(from, ask).await;
+        self.reply(arrived, reply)
+    }
+
+    pub(crate) fn reply(&self, arrived: Micros, reply: Reply) -> ReplyEnvelope {
+        let now = self.now();
+        let state = self.lock();
+        ReplyEnvelope {
+            from: state.me,
+            revision: state.spread.through(),
+            stopping: state.draining(),
+            load: state.gate.load(now),
+            held: now.saturating_sub(arrived),
+            reply,
+        }
+    }
+
+    async fn dispatch(self: &Arc<Self>, from: NodeId, ask: Ask) -> Reply {
+        match ask {
+            Ask::Adopt(handoff) => self.adopt(handoff),
+            Ask::Attempt(attempt) => self.admit(attempt).await,
+            Ask::Crashes(crashes) => self.learn_crashes(&crashes),
+            Ask::Notice(load) => {
+                self.learn_notice(from, load);
+                Reply::Ack
+            }
+            Ask::Operate(operate) => self.operate(operate).await,
+            Ask::Probe => Reply::Ack,
+            Ask::Pull(since) => Reply::Changes(self.lock().spread.since(since)),
+            Ask::Push(changes) => {
+                self.take_changes(&changes);
+                Reply::Ack
+            }
+            Ask::Void { id, incarnation } => self.void(id, incarnation),
+        }
+    }
+
+    fn learn_crashes(&self, crashes: &[Crash]) -> Reply {
+        let now = self.now();
+        let mut state = self.lock();
+        for crash in crashes {
+            state.suspects.report(now, *crash);
+        }
+        Reply::Ack
+    }
+
+    fn learn_notice(&self, from: NodeId, load: bbv_core::pool::Load) {
+        let now = self.now();
+        let mut state = self.lock();
+        let service = state.fleet.member(from.vm).map(|member| member.listed.service.clone());
+        if let Some(steer) = service.and_then(|name| state.steers.get_mut(&name)) {
+            steer.learn(now, from.vm, load);
+        }
+    }
+
+    /// Rows that this node has written.
+    pub fn statement(&self) -> bbv_core::tally::Statement {
+        self.lock().tally.statement()
+    }
+
+    /// Audit trail from line `serial` on.
+    pub fn audit(&self, serial: u64) -> Vec<crate::audit::Line> {
+        self.lock().audit.since(serial)
+    }
+}
--- /dev/null
+++ b/crates/node/src/ports.rs
@@ -0,0 +1,100 @@
+//! Closures through which a node meets everything outside its process.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use bbv_core::spread::Change;
+use bbv_core::units::{Micros, Revision};
+use bbv_wire::{AskEnvelope, Field, ReplyEnvelope, Request};
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+
+/// Why a message to a peer has no reply.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LinkError {
+    /// Nothing was sent.
+    Unsent(String),
+    /// It was sent or partly sent, and no whole reply came.
+    Lost(String),
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::Unsent(reason) => write!(f, "could not send to peer: {reason}"),
+            LinkError::Lost(reason) => write!(f, "could not hear from peer: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+/// Request as it goes to the upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamCall {
+    /// Request.
+    pub request: Request,
+    /// Time left until the deadline.
+    pub ttl: Micros,
+}
+
+/// Whole answer of the upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields.
+    pub headers: Vec<Field>,
+    /// Body.
+    pub body: Bytes,
+    /// Upstream's name for its process, if it gives one.
+    pub instance: Option<u64>,
+}
+
+/// Why the upstream gave no whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpstreamError {
+    /// No connection could be made, so the request was not run.
+    Unsent,
+    /// The connection broke while the request ran or before the answer was whole.
+    Lost,
+    /// The answer is too large to be verified whole.
+    Broken,
+}
+
+/// Changes published by the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Published {
+    /// Revision up to which the changes are complete.
+    pub through: Revision,
+    /// Changes after the revision asked for, or all documents.
+    pub changes: Vec<Change>,
+    /// Whether these are all documents.
+    pub snapshot: bool,
+}
+
+/// Waits up to the given time for changes after the given revision.
+pub type Platform =
+    Box<dyn Fn(Revision, Micros) -> BoxFuture<'static, Result<Published, String>> + Send + Sync>;
+
+/// Sends a request to a peer and returns its reply; dropping the future cancels it.
+pub type Link = Box<
+    dyn Fn(SocketAddr, AskEnvelope) -> BoxFuture<'static, Result<ReplyEnvelope, LinkError>>
+        + Send
+        + Sync,
+>;
+
+/// Runs a request on the upstream; dropping the future cancels it.
+pub type Upstream = Box<
+    dyn Fn(UpstreamCall) -> BoxFuture<'static, Result<UpstreamAnswer, UpstreamError>> + Send + Sync,
+>;
+
+/// Everything outside the process.
+pub struct Ports {
+    /// Peers.
+    pub link: Link,
+    /// Configuration service.
+    pub platform: Platform,
+    /// Upstream beside this node.
+    pub upstream: Upstream,
+}
--- /dev/null
+++ b/crates/node/src/server.rs
@@ -0,0 +1,127 @@
+//! HTTP servers of a node: one for callers and one for operators.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr, eyre};
+use salvo::conn::{Acceptor, Listener, TcpListener};
+use salvo::http::StatusCode;
+use salvo::server::ServerHandle;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
+use tokio::task::JoinHandle;
+
+use crate::front::Front;
+use crate::node::Node;
+
+/// A server that runs.
+pub struct Running {
+    /// Address that it listens on.
+    pub addr: SocketAddr,
+    /// Handle that stops it.
+    pub handle: ServerHandle,
+    /// Task that serves.
+    pub task: JoinHandle<()>,
+}
+
+/// Binds `addr` and serves `router`.
+pub async fn serve(addr: SocketAddr, router: Router) -> Result<Running> {
+    let listener = TcpListener::new(addr).try_bind().await;
+    let acceptor = listener.map_err(|e| eyre!("could not listen on {addr}: {e}"))?;
+    let holding = acceptor.holdings().first().map(|holding| holding.local_addr.clone());
+    let bound = holding.and_then(|addr| addr.into_std()).ok_or_else(|| eyre!("no address"))?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let task = tokio::spawn(server.serve(router));
+    Ok(Running { addr: bound, handle, task })
+}
+
+/// Serves callers.
+pub async fn serve_callers(addr: SocketAddr, node: Arc<Node>) -> Result<Running> {
+    let front = Arc::new(Front { node });
+    let root = Shared(Arc::clone(&front));
+    let router = Router::new().goal(root).push(Router::with_path("{**rest}").goal(Shared(front)));
+    serve(addr, router).await.wrap_err("could not serve callers")
+}
+
+struct Shared(Arc<Front>);
+
+#[async_trait]
+impl Handler for Shared {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        depot: &mut Depot,
+        response: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        self.0.handle(request, depot, response, ctrl).await;
+    }
+}
+
+/// Page of the operators' interface.
+#[derive(Clone, Copy)]
+enum Page {
+    Audit,
+    Live,
+    Metrics,
+    Ready,
+    Statement,
+    Status,
+}
+
+struct Operators {
+    node: Arc<Node>,
+    page: Page,
+}
+
+fn json(response: &mut Response, value: &impl serde::Serialize) {
+    let body = serde_json::to_vec(value).expect("pages are encoded as JSON");
+    response.headers_mut().insert("content-type", "application/json".parse().expect("is a value"));
+    response.body(body);
+}
+
+#[async_trait]
+impl Handler for Operators {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.page {
+            Page::Audit => {
+                let since = request.query::<u64>("since").unwrap_or(0);
+                json(response, &self.node.audit(since));
+            }
+            Page::Live => drop(response.body("live\n")),
+            Page::Metrics => drop(response.body(self.node.metrics().text())),
+            Page::Ready => {
+                if !self.node.ready() {
+                    response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                response.body(if self.node.ready() { "ready\n" } else { "not ready\n" });
+            }
+            Page::Statement => json(response, &self.node.statement()),
+            Page::Status => json(response, &self.node.status()),
+        }
+    }
+}
+
+/// Serves operators.
+pub async fn serve_operators(addr: SocketAddr, node: Arc<Node>) -> Result<Running> {
+    let pages = [
+        ("audit", Page::Audit),
+        ("live", Page::Live),
+        ("metrics", Page::Metrics),
+        ("ready", Page::Ready),
+        ("statement", Page::Statement),
+        ("status", Page::Status),
+    ];
+    let mut router = Router::new();
+    for (path, page) in pages {
+        let operators = Operators { node: Arc::clone(&node), page };
+        router = router.push(Router::with_path(path).get(operators));
+    }
+    serve(addr, router).await.wrap_err("could not serve operators")
+}
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,3 @@
+//! Trials.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/reply.rs
@@ -0,0 +1,40 @@
+//! Replies between nodes.
+
+use bbv_core::id::{AttemptId, Vm};
+use bbv_core::outcome::{Doubt, Refusal};
+use bbv_core::spread::Since;
+
+use crate::answer::Answer;
+
+/// Reply of one node to another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Done; there is nothing to tell.
+    Ack,
+    /// The attempt or operation was answered.
+    Answer(Answer),
+    /// Changes that were asked for.
+    Changes(Since),
+    /// The incarnation that was addressed is gone.
+    Gone,
+    /// Another node holds the records of the ticket's owner.
+    Moved(Vm),
+    /// The attempt or operation was not run.
+    NotRun {
+        /// Attempt or the last one of the operation.
+        attempt: AttemptId,
+        /// Reason.
+        refusal: Refusal,
+    },
+    /// The attempt still runs.
+    Running,
+    /// It is not known whether the attempt or operation ran.
+    Unknown {
+        /// Attempt or the last one of the operation.
+        attempt: AttemptId,
+        /// Reason.
+        doubt: Doubt,
+    },
+    /// The attempt did not run and never will.
+    Voided,
+}
