Run trials in virtual time over the real node

Cause: nothing measured the decisions, and no baseline stood beside them.

Change: bbv-trial runs the node's own code over in-memory links under a paused clock, with fakes of the platform, the upstreams and the callers. An observer fed by the fakes alone checks the invariants. Baselines: random, round robin and an oracle that joins the shortest queue.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,5 +25,5 @@
 pub mod timer;
 pub mod upstream;
 
-pub use node::{Node, Options};
+pub use node::{Node, Options, Pick};
 pub use status::Status;
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -1,1 +1,238 @@
-//! x
+//! Callers of a trial: open arrivals, tickets, resends and poison requests.
+
+use std::sync::Arc;
+
+use bbv_core::catalogue::Entry;
+use bbv_core::id::Vm;
+use bbv_core::outcome::Refusal;
+use bbv_core::ticket::Ticket;
+use bbv_core::units::{MS, Micros, SEC};
+use bbv_node::front::fingerprint;
+use bbv_node::outcome::{Call, Ending, Outcome};
+use bbv_wire::{Field, Request};
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::model::{CALL, CRASH, ONCE};
+use crate::observer::Seen;
+use crate::plan::Stream;
+use crate::world::World;
+
+const RESENDS: usize = 4;
+const RESEND_AFTER: Micros = 50 * MS;
+const CALLER_GRACE: Micros = 200 * MS;
+const POISON_EVERY: Micros = 300 * MS;
+const POISON_RESENDS: usize = 10;
+
+/// Calls of one stream.
+pub struct Source {
+    world: Arc<World>,
+    stream: Stream,
+    entry: Entry,
+    spare: Mutex<Vec<Ticket>>,
+    rng: Mutex<SmallRng>,
+}
+
+impl Source {
+    /// Creates the calls of a stream; the entry is in the catalogue.
+    pub fn new(world: &Arc<World>, stream: &Stream, entry: &Entry, seed: u64) -> Arc<Self> {
+        Arc::new(Source {
+            world: Arc::clone(world),
+            stream: stream.clone(),
+            entry: entry.clone(),
+            spare: Mutex::default(),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+        })
+    }
+
+    /// Offers calls until `until`.
+    pub async fn offer(self: Arc<Self>, until: Micros) {
+        let timer = self.world.timer.clone();
+        let capacity = self.world.plan.capacity(&self.entry.service);
+        let mut at = timer.now() as f64;
+        loop {
+            let rate = capacity * self.stream.load * self.world.load_factor();
+            let uniform: f64 = self.rng.lock().random();
+            at += -(1.0 - uniform).ln() / rate.max(0.001) * SEC as f64;
+            if at as Micros >= until {
+                return;
+            }
+            timer.sleep_until(at as Micros).await;
+            let source = Arc::clone(&self);
+            tokio::spawn(async move { source.call().await });
+        }
+    }
+
+    fn request(&self, id: u64, crash: bool) -> Request {
+        let path = format!("/{}/{id}", self.entry.name);
+        let field = |name: &str, value: String| Field { name: name.to_owned(), value };
+        let mut headers = vec![field(CALL, id.to_string())];
+        if !self.entry.idempotent {
+            headers.push(field(ONCE, "1".to_owned()));
+        }
+        if crash {
+            headers.push(field(CRASH, "1".to_owned()));
+        }
+        Request {
+            entry: self.entry.name.clone(),
+            method: "POST".to_owned(),
+            print: fingerprint("POST", &path, b""),
+            path,
+            headers,
+            body: bytes::Bytes::new(),
+        }
+    }
+
+    fn chance(&self, share: f64) -> bool {
+        share > 0.0 && self.rng.lock().random::<f64>() < share
+    }
+
+    async fn call(self: Arc<Self>) {
+        let start = self.world.timer.now();
+        let id = self.world.next_call();
+        let request = self.request(id, false);
+        let twice = self.chance(self.stream.twice);
+        let seen = if self.entry.idempotent {
+            if twice {
+                tokio::spawn(Arc::clone(&self).single());
+            }
+            self.send(&request, None).await
+        } else {
+            let ticket = self.ticket(&request).await;
+            match (ticket, twice) {
+                (None, _) => Seen::NotRun,
+                (ticket, false) => self.send(&request, ticket).await,
+                (ticket, true) => {
+                    let both = futures_util::future::join(
+                        self.send(&request, ticket),
+                        self.send(&request, ticket),
+                    );
+                    let (a, b) = both.await;
+                    worst(a, b)
+                }
+            }
+        };
+        let end = self.world.timer.now();
+        let measured = self.world.measured(start);
+        self.world.observer.ended(id, &self.entry.name, seen, end - start, measured);
+    }
+
+    async fn single(self: Arc<Self>) {
+        let start = self.world.timer.now();
+        let id = self.world.next_call();
+        let seen = self.send(&self.request(id, false), None).await;
+        let end = self.world.timer.now();
+        let measured = self.world.measured(start);
+        self.world.observer.ended(id, &self.entry.name, seen, end - start, measured);
+    }
+
+    /// Takes a spare ticket, or asks for one by sending the call without.
+    async fn ticket(&self, request: &Request) -> Option<Ticket> {
+        let spare = self.spare.lock().pop();
+        if spare.is_some() {
+            return spare;
+        }
+        for _ in 0..RESENDS {
+            let outcome = self.once(request, None).await;
+            if let Some(ticket) = outcome.and_then(|outcome| outcome.spare) {
+                return Some(ticket);
+            }
+        }
+        None
+    }
+
+    /// Sends a request until its outcome is certain or the resends are used up.
+    async fn send(&self, request: &Request, ticket: Option<Ticket>) -> Seen {
+        let resends = if ticket.is_some() { RESENDS } else { 1 };
+        for _ in 0..resends {
+            let outcome = self.once(request, ticket).await;
+            if self.chance(self.stream.deaf) {
+                self.world.timer.sleep(RESEND_AFTER).await;
+                continue;
+            }
+            if let Some(outcome) = outcome {
+                if let Some(spare) = outcome.spare {
+                    self.spare.lock().push(spare);
+                }
+                match self.judge(request, outcome.ending) {
+                    Seen::Unknown => {}
+                    seen => return seen,
+                }
+            }
+            self.world.timer.sleep(RESEND_AFTER).await;
+        }
+        Seen::Unknown
+    }
+
+    fn judge(&self, request: &Request, ending: Ending) -> Seen {
+        match ending {
+            Ending::Answered(answer) => {
+                let id = request.path.rsplit('/').next().unwrap_or_default();
+                let (good, failed) = (format!("call {id}"), format!("failed {id}"));
+                if answer.body != good.as_bytes() && answer.body != failed.as_bytes() {
+                    self.world.observer.note(|facts| facts.crossed += 1);
+                }
+                if answer.status >= 500 { Seen::Failed } else { Seen::Answered }
+            }
+            Ending::NotRun(Refusal::TicketRequired) => Seen::Unknown,
+            Ending::NotRun(_) => Seen::NotRun,
+            Ending::Unknown(_) => Seen::Unknown,
+        }
+    }
+
+    /// Sends a request through one node; none when no outcome came back.
+    async fn once(&self, request: &Request, ticket: Option<Ticket>) -> Option<Outcome> {
+        let world = &self.world;
+        let limit = self.entry.deadline_ms * MS + CALLER_GRACE;
+        for _ in 0..RESENDS {
+            let member = {
+                let mut rng = self.rng.lock();
+                let home =
+                    ticket.map(|ticket| ticket.owner.vm).filter(|_| rng.random::<f64>() < 0.8);
+                world.ingress(home, &mut rng)?
+            };
+            world.client_delay().await;
+            if !world.is_alive(&member) {
+                world.client_delay().await;
+                continue;
+            }
+            member.node.timer().awake().await;
+            let call = Call { request: request.clone(), ttl: None, ticket };
+            let until = world.timer.now() + limit;
+            let outcome = world.timer.limit(until, member.node.call(call)).await;
+            member.node.timer().awake().await;
+            world.client_delay().await;
+            return outcome.filter(|_| world.is_alive(&member));
+        }
+        None
+    }
+
+    /// Sends one request that crashes upstreams, again and again.
+    pub async fn poison(self: Arc<Self>) {
+        let id = self.world.next_call();
+        let request = self.request(id, true);
+        let mut ticket = None;
+        for _ in 0..POISON_RESENDS {
+            if !self.entry.idempotent && ticket.is_none() {
+                ticket = self.ticket(&request).await;
+            }
+            self.once(&request, ticket).await;
+            self.world.timer.sleep(POISON_EVERY).await;
+        }
+    }
+}
+
+/// What two copies of one operation tell together; a refusal of either one stands.
+fn worst(a: Seen, b: Seen) -> Seen {
+    if a == Seen::NotRun || b == Seen::NotRun {
+        return Seen::NotRun;
+    }
+    if a == Seen::Answered { a } else { b }
+}
+
+/// Chooses the node that a caller connects to.
+pub fn choose(vms: &[Vm], home: Option<Vm>, rng: &mut SmallRng) -> Option<Vm> {
+    home.filter(|vm| vms.contains(vm)).or_else(|| vms.choose(rng).copied())
+}
