Tell cold upstreams from slow ones

Cause: an upstream that turned cold without a restart got up to 26 starts above what it bears, since the gate waited for answers that came late; and a stall of 200 ms was taken for a cold start, so the ramp held capacity back for 5 s. The baseline began at the first answer, which may be a quarter of the mean, and an idle upstream reported its last latency for ever and was starved.

Change: requests that run four times too long lower the limit before they end; a score over latencies replaces the run of three; answers as fast as before give the slots back early in the ramp; the baseline starts from the catalogue's figure; the reported latency fades while idle.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -42,6 +42,13 @@
     Refuse(u64, Refusal),
 }
 
+/// Evidence on whether an upstream that got slow is cold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Doubted {
+    count: u32,
+    ratio: f64,
+}
+
 /// The only door to an upstream.
 #[derive(Clone, Debug)]
 pub struct Gate {
@@ -52,13 +59,21 @@
     running: u32,
     owners: BTreeMap<Owner, u32>,
     starts: Vec<(u64, Micros)>,
-    slow_run: u32,
+    slow_score: f64,
+    doubt: Option<Doubted>,
+    doubted_at: Micros,
     instance: Option<u64>,
     closed: Option<Refusal>,
 }
 
 const COLD_FACTOR: u64 = 4;
-const COLD_RUN: u32 = 3;
+const DRIFT: f64 = 2.5;
+const RATIO_MAX: f64 = 6.0;
+const SLOW_SCORE: f64 = 8.0;
+const STUCK: usize = 2;
+const DOUBT_ANSWERS: u32 = 4;
+const DOUBT_GAIN: f64 = 0.3;
+const RECOVERED_RATIO: f64 = 1.5;
 
 impl Gate {
     /// Creates the gate of an upstream that is taken to be cold at `now`.
@@ -71,13 +86,15 @@
     /// ```
     pub fn new(bounds: Bounds, now: Micros) -> Self {
         Gate {
-            limit: Limit::new(bounds.slots),
+            limit: Limit::new(bounds.slots, bounds.usual),
             ramp: Ramp::new(bounds.slots, bounds.warmup, now),
             queue: Queue::default(),
             running: 0,
             owners: BTreeMap::new(),
             starts: Vec::new(),
-            slow_run: 0,
+            slow_score: 0.0,
+            doubt: None,
+            doubted_at: 0,
             instance: None,
             closed: None,
             bounds,
@@ -95,7 +112,7 @@
             return;
         }
         self.bounds = bounds;
-        self.limit = Limit::new(bounds.slots);
+        self.limit = Limit::new(bounds.slots, bounds.usual);
         self.ramp = Ramp::new(bounds.slots, bounds.warmup, now);
     }
 
@@ -110,7 +127,8 @@
     pub fn chill(&mut self, now: Micros) {
         self.ramp.chill(now);
         self.limit.reset();
-        self.slow_run = 0;
+        self.slow_score = 0.0;
+        self.doubt = None;
     }
 
     /// Concurrent requests allowed at `now`.
@@ -119,6 +137,51 @@
         self.limit.current().min(self.ramp.limit(now)).min(cap).max(1)
     }
 
+    /// Takes the upstream to be cold when several requests run far too long.
+    fn watch(&mut self, now: Micros) {
+        let base = self.limit.baseline();
+        if self.doubt.is_some() {
+            return;
+        }
+        let old = |(_, at): &&(u64, Micros)| {
+            *at >= self.doubted_at && now.saturating_sub(*at) > COLD_FACTOR * base
+        };
+        if self.starts.iter().filter(old).count() >= STUCK {
+            self.chill_by_latency(now);
+        }
+    }
+
+    /// Starts the ramp again, but keeps what is known for the case that it was only slow.
+    fn chill_by_latency(&mut self, now: Micros) {
+        self.ramp.chill(now);
+        self.slow_score = 0.0;
+        self.doubt = Some(Doubted::default());
+        self.doubted_at = now;
+    }
+
+    /// Learns from a request that started after the upstream was taken to be cold.
+    ///
+    /// A cold upstream stays slow while it warms up; one that is as fast as before was
+    /// not cold and has its slots back.
+    fn relearn(&mut self, now: Micros, latency: Micros) {
+        let base = self.limit.baseline().max(1) as f64;
+        let Some(doubt) = &mut self.doubt else { return };
+        let ratio = latency as f64 / base;
+        doubt.ratio += (ratio - doubt.ratio) * if doubt.count == 0 { 1.0 } else { DOUBT_GAIN };
+        doubt.count += 1;
+        // Later in the warm-up a cold upstream is nearly as fast as a warm one, but does
+        // not bear as much.
+        let early = now < self.doubted_at + self.bounds.warmup.time / 2;
+        let fast = doubt.count >= DOUBT_ANSWERS && doubt.ratio < RECOVERED_RATIO;
+        let recovered = early && fast;
+        if recovered {
+            self.ramp.restore();
+        }
+        if recovered || self.ramp.warm(now) {
+            self.doubt = None;
+        }
+    }
+
     /// Requests running on the upstream.
     pub fn running(&self) -> u32 {
         self.running
@@ -138,6 +201,7 @@
         if let Some(reason) = self.closed {
             return Admit::Refuse(reason);
         }
+        self.watch(now);
         let allowed = self.allowed(now);
         if self.running < allowed && self.queue.is_empty() {
             self.start(now, ask.id, ask.owner);
@@ -161,7 +225,7 @@
         if over && self.queue.of_owner(ask.owner) >= mine {
             return Some(Refusal::Overload);
         }
-        let service = self.service();
+        let service = self.service(now);
         let wait = service * (self.queue.len() as u64 + 1) / u64::from(allowed.max(1));
         (now + wait + service > ask.deadline).then_some(Refusal::Deadline)
     }
@@ -176,11 +240,8 @@
         }
     }
 
-    fn service(&self) -> Micros {
-        match self.limit.latency() {
-            0 => self.bounds.usual,
-            latency => latency,
-        }
+    fn service(&self, now: Micros) -> Micros {
+        self.limit.latency(now)
     }
 
     fn start(&mut self, now: Micros, id: u64, owner: Owner) {
@@ -204,21 +265,37 @@
         self.release(id, owner);
         let restarted = instance.is_some() && self.instance.is_some() && instance != self.instance;
         self.instance = instance.or(self.instance);
-        if restarted || self.turned_cold(&finish) {
+        if restarted {
             self.chill(now);
             return;
         }
+        if now.saturating_sub(finish.latency) < self.doubted_at {
+            // It tells how the upstream was before it was taken to be cold.
+            return;
+        }
         if finish.good {
             self.ramp.succeed();
         }
+        if finish.good && self.doubt.is_some() {
+            self.relearn(now, finish.latency);
+            return;
+        }
+        if self.turned_cold(&finish) {
+            self.chill_by_latency(now);
+            return;
+        }
         self.limit.finish(now, finish);
     }
 
+    /// Sums up how far latencies lie above twice the usual one; tells when it is enough.
     fn turned_cold(&mut self, finish: &Finish) -> bool {
         let base = self.limit.baseline();
-        let slow = finish.good && base > 0 && finish.latency > COLD_FACTOR * base;
-        self.slow_run = if slow { self.slow_run + 1 } else { 0 };
-        self.slow_run >= COLD_RUN
+        if !finish.good {
+            return false;
+        }
+        let ratio = (finish.latency as f64 / base as f64).min(RATIO_MAX);
+        self.slow_score = (self.slow_score + ratio - DRIFT).max(0.0);
+        self.slow_score >= SLOW_SCORE
     }
 
     /// Records that a running request was cancelled; nothing is learned from it.
@@ -243,6 +320,7 @@
 
     /// Appends the decisions that became due about waiting requests.
     pub fn poll(&mut self, now: Micros, steps: &mut Vec<Step>) {
+        self.watch(now);
         while let Some(ask) = self.queue.expire(now) {
             steps.push(Step::Refuse(ask.id, Refusal::Deadline));
         }
@@ -258,7 +336,7 @@
     /// Tells whether a request has run far longer than usual.
     pub fn stalled(&self, now: Micros) -> bool {
         let oldest = self.starts.first().map_or(0, |(_, at)| now.saturating_sub(*at));
-        oldest > COLD_FACTOR * self.service()
+        oldest > COLD_FACTOR * self.service(now)
     }
 
     /// Tells whether the upstream bears all its slots.
@@ -278,7 +356,7 @@
             running: self.running as u16,
             queued: self.queue.len() as u16,
             allowed: self.allowed(now) as u16,
-            service_us: self.service().min(u64::from(u32::MAX)) as u32,
+            service_us: self.service(now).min(u64::from(u32::MAX)) as u32,
             oldest_us: oldest.min(u64::from(u32::MAX)) as u32,
             failing_pct: (self.limit.failure_share() * 100.0) as u8,
             closed: self.closed.is_some(),
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -23,6 +23,7 @@
     base_us: f64,
     failing: f64,
     cut_at: Micros,
+    seen_at: Micros,
 }
 
 const FAST_GAIN: f64 = 0.2;
@@ -31,24 +32,35 @@
 const SLOW_FACTOR: f64 = 3.0;
 const CUT: f64 = 0.7;
 const CUT_EVERY: Micros = 20 * MS;
+const FADE: Micros = 50 * MS;
 const FAILING_SHARE: f64 = 0.5;
 
 impl Limit {
-    /// Creates a limit that starts at `slots`.
+    /// Creates a limit that starts at `slots`; `usual` is the stated latency of an
+    /// unloaded upstream, from which the baseline starts.
     ///
     /// ```
-    /// assert_eq!(bbv_core::limit::Limit::new(9).current(), 9);
+    /// assert_eq!(bbv_core::limit::Limit::new(9, 5_000).current(), 9);
     /// ```
-    pub fn new(slots: u32) -> Self {
+    pub fn new(slots: u32, usual: Micros) -> Self {
         let slots = f64::from(slots.max(1));
-        Limit { slots, limit: slots, fast_us: 0.0, base_us: 0.0, failing: 0.0, cut_at: 0 }
+        let usual = usual.max(1) as f64;
+        Limit {
+            slots,
+            limit: slots,
+            fast_us: usual,
+            base_us: usual,
+            failing: 0.0,
+            cut_at: 0,
+            seen_at: 0,
+        }
     }
 
     /// Learns from one finished request.
     ///
     /// ```
     /// use bbv_core::limit::{Finish, Limit};
-    /// let mut limit = Limit::new(9);
+    /// let mut limit = Limit::new(9, 5_000);
     /// limit.finish(30_000, Finish { latency: 100, good: false });
     /// assert!(limit.current() < 9);
     /// ```
@@ -56,9 +68,10 @@
         let sick = if finish.good { 0.0 } else { 1.0 };
         self.failing += FAIL_GAIN * (sick - self.failing);
         if finish.good {
+            self.seen_at = now;
             self.learn(finish.latency as f64);
         }
-        let slow = self.base_us > 0.0 && self.fast_us > SLOW_FACTOR * self.base_us;
+        let slow = self.fast_us > SLOW_FACTOR * self.base_us;
         if !finish.good || slow {
             self.cut(now);
         } else {
@@ -67,11 +80,6 @@
     }
 
     fn learn(&mut self, latency: f64) {
-        if self.base_us == 0.0 {
-            self.fast_us = latency;
-            self.base_us = latency;
-            return;
-        }
         self.fast_us += FAST_GAIN * (latency - self.fast_us);
         // The baseline follows a slower upstream only slowly, a faster one at once.
         let gain = if latency > SLOW_FACTOR * self.base_us { BASE_GAIN / 10.0 } else { BASE_GAIN };
@@ -89,25 +97,30 @@
     /// Concurrent requests allowed.
     ///
     /// ```
-    /// assert_eq!(bbv_core::limit::Limit::new(0).current(), 1);
+    /// assert_eq!(bbv_core::limit::Limit::new(0, 5_000).current(), 1);
     /// ```
     pub fn current(&self) -> u32 {
         self.limit as u32
     }
 
-    /// Recent latency of good answers, or zero before the first one.
+    /// Recent latency of good answers.
+    ///
+    /// It fades to the usual latency while no answers come, since an upstream that was
+    /// slow and is left alone would otherwise look slow for ever.
     ///
     /// ```
-    /// assert_eq!(bbv_core::limit::Limit::new(4).latency(), 0);
+    /// assert_eq!(bbv_core::limit::Limit::new(4, 5_000).latency(0), 5_000);
     /// ```
-    pub fn latency(&self) -> Micros {
-        self.fast_us as Micros
+    pub fn latency(&self, now: Micros) -> Micros {
+        let age = now.saturating_sub(self.seen_at) as f64;
+        let weight = 0.5_f64.powf(age / FADE as f64);
+        (self.base_us + (self.fast_us - self.base_us) * weight) as Micros
     }
 
-    /// Usual latency of good answers, or zero before the first one.
+    /// Usual latency of good answers.
     ///
     /// ```
-    /// assert_eq!(bbv_core::limit::Limit::new(4).baseline(), 0);
+    /// assert_eq!(bbv_core::limit::Limit::new(4, 5_000).baseline(), 5_000);
     /// ```
     pub fn baseline(&self) -> Micros {
         self.base_us as Micros
@@ -116,7 +129,7 @@
     /// Share of recent answers that failed.
     ///
     /// ```
-    /// assert_eq!(bbv_core::limit::Limit::new(4).failure_share(), 0.0);
+    /// assert_eq!(bbv_core::limit::Limit::new(4, 5_000).failure_share(), 0.0);
     /// ```
     pub fn failure_share(&self) -> f64 {
         self.failing
@@ -125,7 +138,7 @@
     /// Tells whether the upstream mostly fails.
     ///
     /// ```
-    /// assert!(!bbv_core::limit::Limit::new(4).failing());
+    /// assert!(!bbv_core::limit::Limit::new(4, 5_000).failing());
     /// ```
     pub fn failing(&self) -> bool {
         self.failing >= FAILING_SHARE
@@ -134,9 +147,9 @@
     /// Forgets what was learned, for an upstream that was replaced.
     ///
     /// ```
-    /// bbv_core::limit::Limit::new(4).reset();
+    /// bbv_core::limit::Limit::new(4, 5_000).reset();
     /// ```
     pub fn reset(&mut self) {
-        *self = Limit::new(self.slots as u32);
+        *self = Limit { limit: self.slots, fast_us: self.base_us, failing: 0.0, ..self.clone() };
     }
 }
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -18,6 +18,7 @@
     warmup: Warmup,
     cold_at: Micros,
     done: u32,
+    restored: bool,
 }
 
 /// The ramp stays behind the stated warm-up by this factor.
@@ -32,7 +33,7 @@
     /// assert_eq!(ramp.limit(500), 2);
     /// ```
     pub fn new(slots: u32, warmup: Warmup, now: Micros) -> Self {
-        Ramp { slots, warmup, cold_at: now, done: 0 }
+        Ramp { slots, warmup, cold_at: now, done: 0, restored: false }
     }
 
     /// Starts again from cold.
@@ -46,6 +47,19 @@
     pub fn chill(&mut self, now: Micros) {
         self.cold_at = now;
         self.done = 0;
+        self.restored = false;
+    }
+
+    /// Takes the upstream to be warm again.
+    ///
+    /// ```
+    /// # use bbv_core::ramp::{Ramp, Warmup};
+    /// let mut ramp = Ramp::new(9, Warmup { cold_slots: 2, time: 10 }, 0);
+    /// ramp.restore();
+    /// assert!(ramp.warm(0));
+    /// ```
+    pub fn restore(&mut self) {
+        self.restored = true;
     }
 
     /// Records a request that the upstream completed well.
@@ -67,6 +81,9 @@
     /// assert_eq!(Ramp::new(4, Warmup { cold_slots: 1, time: 10 }, 0).limit(0), 1);
     /// ```
     pub fn limit(&self, now: Micros) -> u32 {
+        if self.restored {
+            return self.slots;
+        }
         let cold = self.warmup.cold_slots.min(self.slots);
         let span = (self.slots - cold) as f64;
         let age = now.saturating_sub(self.cold_at) as f64;
--- a/crates/trial/src/model.rs
+++ b/crates/trial/src/model.rs
@@ -26,9 +26,9 @@
 const RESTART: Micros = 500 * MS;
 const COLD_SLOWDOWN: f64 = 5.0;
 
-/// Time within which the first answers of an upstream that turned cold without a
-/// restart can have come back; starts before it are not held against the gate.
-pub const COLD_GRACE_SERVICES: u64 = 12;
+/// Mean service times of a cold upstream after its first start as such, within which
+/// the first sign of its state can have come back.
+const COLD_GRACE: f64 = 3.0;
 
 struct Body {
     rng: SmallRng,
@@ -118,8 +118,8 @@
         let mut body = self.body.lock();
         let now = self.timer.now();
         body.cold_at = Some(now);
-        let cold = self.pool.mean() * COLD_SLOWDOWN;
-        body.judged_from = now + cold as Micros * COLD_GRACE_SERVICES / 4;
+        // Nothing can tell its state before something has run on it.
+        body.judged_from = Micros::MAX;
     }
 
     /// Sets since when its zone is out of service.
@@ -203,6 +203,9 @@
         }
         body.running += 1;
         let over = u64::from(body.running).saturating_sub(self.service.slots);
+        if body.judged_from == Micros::MAX {
+            body.judged_from = now + (self.pool.mean() * COLD_SLOWDOWN * COLD_GRACE) as Micros;
+        }
         let warmth = self.warmth(&body, now);
         let overload =
             warmth < 1.0 && body.running > self.bearable(warmth) && now >= body.judged_from;
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -79,6 +79,8 @@
     pub in_force_max_ms: u64,
     /// Nodes that do not know the latest revision at the end.
     pub behind: u64,
+    /// Upstreams taken to be cold after the lead.
+    pub chills: u64,
     /// Revisions that went back on a node.
     pub reversions: u64,
     /// Platform reads in the busiest second.
@@ -140,6 +142,7 @@
             in_force_p99_ms: quantile(&delays, 0.99),
             in_force_max_ms: delays.last().copied().unwrap_or(0),
             behind,
+            chills: chills(world, members),
             reversions: reversions(members),
             platform_reads_per_s: world.platform.reads().max_per_s,
         })
@@ -167,6 +170,15 @@
     delays
 }
 
+/// Counts how often gates took their upstream to be cold after the lead.
+fn chills(world: &World, members: &[Member]) -> u64 {
+    let lines = members.iter().flat_map(|member| member.node.audit(0));
+    let chilled = lines.filter(|line| {
+        line.event == Event::UpstreamState && line.subject == "cold" && line.at > world.plan.lead
+    });
+    chilled.count() as u64
+}
+
 /// Counts documents whose revision went back on a node.
 fn reversions(members: &[Member]) -> u64 {
     let mut count = 0;
