Notice a single request that hangs, and take longer to trust an upstream again

Change: one request above ten times the usual latency is enough; six answers in place of four, a slower mean and a ratio of 1.25 in place of 1.5 give the slots back.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -71,9 +71,10 @@
 const RATIO_MAX: f64 = 6.0;
 const SLOW_SCORE: f64 = 8.0;
 const STUCK: usize = 2;
-const DOUBT_ANSWERS: u32 = 4;
-const DOUBT_GAIN: f64 = 0.3;
-const RECOVERED_RATIO: f64 = 1.5;
+const STUCK_FACTOR: u64 = 10;
+const DOUBT_ANSWERS: u32 = 6;
+const DOUBT_GAIN: f64 = 0.2;
+const RECOVERED_RATIO: f64 = 1.25;
 
 impl Gate {
     /// Creates the gate of an upstream that is taken to be cold at `now`.
@@ -143,10 +144,11 @@
         if self.doubt.is_some() {
             return;
         }
-        let old = |(_, at): &&(u64, Micros)| {
-            *at >= self.doubted_at && now.saturating_sub(*at) > COLD_FACTOR * base
-        };
-        if self.starts.iter().filter(old).count() >= STUCK {
+        let fresh = self.starts.iter().filter(|(_, at)| *at >= self.doubted_at);
+        let ages = fresh.map(|(_, at)| now.saturating_sub(*at));
+        let old = ages.clone().filter(|age| *age > COLD_FACTOR * base).count();
+        let oldest = ages.max().unwrap_or(0);
+        if old >= STUCK || oldest > STUCK_FACTOR * base {
             self.chill_by_latency(now);
         }
     }
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -82,12 +82,20 @@
     now
 }
 
+#[test]
+fn single_request_that_hangs_is_a_stall() {
+    let mut gate = warm();
+    fill(&mut gate, WARM_AT, 1_000..1_001);
+    let now = WARM_AT + 11 * SERVICE;
+    assert_eq!(fill(&mut gate, now, 2_000..2_010), 1);
+}
+
 #[test]
 fn stall_that_ends_gives_the_slots_back() {
     let mut gate = warm();
     let now = stall(&mut gate);
     assert_eq!(gate.allowed(now), 2);
-    let now = run_each(&mut gate, now, 2_000..2_004, SERVICE);
+    let now = run_each(&mut gate, now, 2_000..2_006, SERVICE);
     assert_eq!(gate.allowed(now), 9);
 }
 
@@ -95,7 +103,7 @@
 fn slow_answers_after_a_stall_keep_the_ramp_low() {
     let mut gate = warm();
     let now = stall(&mut gate);
-    let now = run_each(&mut gate, now, 2_000..2_004, 5 * SERVICE);
+    let now = run_each(&mut gate, now, 2_000..2_006, 5 * SERVICE);
     assert_eq!(gate.allowed(now), 2);
     assert!(!gate.warm(now));
 }
@@ -104,7 +112,7 @@
 fn fast_answers_late_in_the_warm_up_do_not_skip_the_rest() {
     let mut gate = warm();
     let now = stall(&mut gate);
-    let now = run_each(&mut gate, now + 3 * SEC, 2_000..2_004, SERVICE);
+    let now = run_each(&mut gate, now + 3 * SEC, 2_000..2_006, SERVICE);
     assert!(gate.allowed(now) < 9);
 }
 
