--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -280,6 +280,9 @@
         }
         if finish.good && self.doubt.is_some() {
             self.relearn(now, finish.latency);
+        }
+        if !self.ramp.warm(now) {
+            self.limit.finish_warming(now, finish);
             return;
         }
         if self.turned_cold(&finish) {
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -68,8 +68,7 @@
         let sick = if finish.good { 0.0 } else { 1.0 };
         self.failing += FAIL_GAIN * (sick - self.failing);
         if finish.good {
-            self.seen_at = now;
-            self.learn(finish.latency as f64);
+            self.learn(now, finish.latency as f64);
         }
         let slow = self.fast_us > SLOW_FACTOR * self.base_us;
         if !finish.good || slow {
@@ -79,8 +78,42 @@
         }
     }
 
-    fn learn(&mut self, latency: f64) {
+    /// Learns from one finished request of an upstream that is still warming up.
+    ///
+    /// Its latency tells nothing about the usual one and lowers nothing; only a failure
+    /// does.
+    ///
+    /// ```
+    /// use bbv_core::limit::{Finish, Limit};
+    /// let mut limit = Limit::new(9, 5_000);
+    /// limit.finish_warming(30_000, Finish { latency: 90_000, good: true });
+    /// assert_eq!((limit.current(), limit.baseline()), (9, 5_000));
+    /// ```
+    pub fn finish_warming(&mut self, now: Micros, finish: Finish) {
+        let sick = if finish.good { 0.0 } else { 1.0 };
+        self.failing += FAIL_GAIN * (sick - self.failing);
+        if !finish.good {
+            self.cut(now);
+            return;
+        }
+        self.learn_fast(now, finish.latency as f64);
+        self.limit = (self.limit + 1.0 / self.limit).min(self.slots);
+    }
+
+    fn learn_fast(&mut self, now: Micros, latency: f64) {
+        self.fast_us = self.faded(now);
         self.fast_us += FAST_GAIN * (latency - self.fast_us);
+        self.seen_at = now;
+    }
+
+    fn faded(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.seen_at) as f64;
+        let weight = 0.5_f64.powf(age / FADE as f64);
+        self.base_us + (self.fast_us - self.base_us) * weight
+    }
+
+    fn learn(&mut self, now: Micros, latency: f64) {
+        self.learn_fast(now, latency);
         // The baseline follows a slower upstream only slowly, a faster one at once.
         let gain = if latency > SLOW_FACTOR * self.base_us { BASE_GAIN / 10.0 } else { BASE_GAIN };
         self.base_us += gain * (latency - self.base_us);
@@ -112,9 +145,7 @@
     /// assert_eq!(bbv_core::limit::Limit::new(4, 5_000).latency(0), 5_000);
     /// ```
     pub fn latency(&self, now: Micros) -> Micros {
-        let age = now.saturating_sub(self.seen_at) as f64;
-        let weight = 0.5_f64.powf(age / FADE as f64);
-        (self.base_us + (self.fast_us - self.base_us) * weight) as Micros
+        self.faded(now) as Micros
     }
 
     /// Usual latency of good answers.
--- a/crates/node/src/cmd/run.rs
+++ b/crates/node/src/cmd/run.rs
@@ -78,9 +78,10 @@
     wait_for_stop().await?;
     log::info!("event=stopping node={}", node.id());
     // Callers that still come are served by other gates until the drain ends.
-    let complete = node.drain().await;
+    let drained = node.drain().await;
     callers.handle.stop_graceful(HTTP_STOP);
     let _ = callers.task.await;
+    let complete = node.finish().await && drained;
     for task in tasks {
         task.abort();
     }
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -165,11 +165,11 @@
             None => self.timer.limit(deadline, run).await,
         };
         let Some(result) = result else {
-            self.finish(&mut slot, Finish { latency: ttl, good: true }, None);
+            self.end_run(&mut slot, Finish { latency: ttl, good: true }, None);
             return Reply::Unknown { attempt: id, doubt: Doubt::Late };
         };
         let latency = self.now().saturating_sub(started);
-        self.settle(&mut slot, id, print, latency, result).await
+        self.settle_run(&mut slot, id, print, latency, result).await
     }
 
     /// Waits for a place on the upstream.
@@ -239,7 +239,7 @@
         }
     }
 
-    fn finish(&self, slot: &mut Slot, finish: Finish, instance: Option<u64>) {
+    fn end_run(&self, slot: &mut Slot, finish: Finish, instance: Option<u64>) {
         let now = self.now();
         if !slot.held {
             return;
@@ -251,7 +251,7 @@
         state.pump(now);
     }
 
-    async fn settle(
+    async fn settle_run(
         self: &Arc<Self>,
         slot: &mut Slot,
         id: AttemptId,
@@ -262,16 +262,16 @@
         match result {
             Ok(answer) => {
                 let good = answer.status < 500;
-                self.finish(slot, Finish { latency, good }, answer.instance);
+                self.end_run(slot, Finish { latency, good }, answer.instance);
                 let UpstreamAnswer { status, headers, body, .. } = answer;
                 Reply::Answer(Answer { attempt: id, status, headers, body })
             }
             Err(UpstreamError::Unsent) => {
-                self.finish(slot, Finish { latency, good: false }, None);
+                self.end_run(slot, Finish { latency, good: false }, None);
                 Reply::NotRun { attempt: id, refusal: Refusal::Overload }
             }
             Err(UpstreamError::Broken) => {
-                self.finish(slot, Finish { latency, good: false }, None);
+                self.end_run(slot, Finish { latency, good: false }, None);
                 Reply::Unknown { attempt: id, doubt: Doubt::BrokenAnswer }
             }
             Err(UpstreamError::Lost) => {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Ingress side: sends a caller's request to an upstream and returns the outcome.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bbv_core::catalogue::Entry;
 use bbv_core::id::{AttemptId, NodeId, Vm};
@@ -44,6 +45,22 @@
     }
 }
 
+/// Counts a call as open until it ends or its caller goes away.
+struct Open(Arc<Node>);
+
+impl Open {
+    fn new(node: &Arc<Node>) -> Self {
+        node.open_calls.fetch_add(1, Ordering::Relaxed);
+        Open(Arc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Result of one attempt.
 pub(crate) struct Tried {
     pub id: AttemptId,
@@ -56,6 +73,7 @@
         let now = self.now();
         self.check_pause(now);
         self.metrics.calls.inc();
+        let _open = Open::new(self);
         let outcome = match call.ticket {
             // Only the owner of a ticket may say that its operation is not run.
             Some(ticket) => {
@@ -254,6 +272,7 @@
                 continue;
             };
             last.attempt = Some(result.id);
+            let refused = matches!(result.reply, Ok(Reply::NotRun { .. }));
             let again = match result.reply {
                 Ok(Reply::Answer(answer)) => {
                     let failed = answer.status >= 500;
@@ -282,19 +301,31 @@
                 }
                 Err(LinkError::Unsent(_)) => true,
             };
-            if again && open.is_empty() && self.now() < deadline && self.lock().retries.spend() {
-                self.metrics.retries.inc();
+            if again && open.is_empty() && self.now() < deadline && self.may_retry(refused) {
                 hedge_at = self.send_next(entry, &request, &mut tried, &mut open, deadline);
             }
         }
         last
     }
 
+    /// Takes a further attempt from its budget; one that was refused cost no upstream
+    /// anything, so it has a budget of its own.
+    pub(crate) fn may_retry(&self, refused: bool) -> bool {
+        let mut state = self.lock();
+        let budget = if refused { &mut state.detours } else { &mut state.retries };
+        let allowed = budget.spend();
+        if allowed {
+            self.metrics.retries.inc();
+        }
+        allowed
+    }
+
     /// Records a first attempt with all budgets.
     pub(crate) fn earn(&self) {
         let mut state = self.lock();
         state.retries.earn();
         state.hedges.earn();
+        state.detours.earn();
         state.probes.earn();
         state.notices.earn();
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -47,6 +47,7 @@
     pub(crate) ports: Ports,
     pub(crate) timer: Timer,
     pub(crate) metrics: Metrics,
+    pub(crate) open_calls: AtomicU64,
     state: Mutex<State>,
     ticked: AtomicU64,
 }
@@ -59,7 +60,8 @@
     pub fn new(options: Options, ports: Ports, timer: Timer) -> Arc<Self> {
         let state = Mutex::new(State::new(&options, timer.now()));
         let ticked = AtomicU64::new(timer.now());
-        Arc::new(Node { options, ports, timer, metrics: Metrics::new(), state, ticked })
+        let open_calls = AtomicU64::new(0);
+        Arc::new(Node { options, ports, timer, metrics: Metrics::new(), open_calls, state, ticked })
     }
 
     /// Identity of this process.
@@ -85,6 +87,11 @@
         self.timer.now()
     }
 
+    /// Calls of callers that have not ended.
+    pub fn open_calls(&self) -> u64 {
+        self.open_calls.load(Ordering::Relaxed)
+    }
+
     /// Tells whether the node takes new calls.
     pub fn ready(&self) -> bool {
         let state = self.lock();
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -10,7 +10,7 @@
 use bbv_core::ticket::Ticket;
 use bbv_core::units::{MS, Micros};
 use bbv_wire::{Answer, Ask, Operate, Reply, Request};
-use tokio::sync::watch;
+use tokio::sync::broadcast;
 
 use crate::audit::Event;
 use crate::ingress::outcome_of;
@@ -126,9 +126,8 @@
             Err(reply) => return reply,
         };
         let late = Reply::Unknown { attempt: AttemptId::default(), doubt: Doubt::Late };
-        let done = result.wait_for(Option::is_some);
-        match self.timer.limit(deadline, done).await {
-            Some(Ok(reply)) => reply.clone().unwrap_or(late),
+        match self.timer.limit(deadline, result.recv()).await {
+            Some(Ok(reply)) => reply,
             Some(Err(_)) | None => late,
         }
     }
@@ -139,7 +138,7 @@
         operate: &Operate,
         key: OpKey,
         deadline: Micros,
-    ) -> Result<watch::Receiver<Option<Reply>>, Reply> {
+    ) -> Result<broadcast::Receiver<Reply>, Reply> {
         let now = self.now();
         let mut state = self.lock();
         let print = operate.request.print;
@@ -169,7 +168,7 @@
             owner.lost(key.1);
             return Err(Reply::Unknown { attempt: AttemptId::default(), doubt: Doubt::PeerLost });
         };
-        let (sender, receiver) = watch::channel(None);
+        let (sender, receiver) = broadcast::channel(1);
         state.watched.insert(key, sender);
         drop(state);
         let drive = Drive { key, entry, request: operate.request.clone(), deadline };
@@ -183,7 +182,8 @@
         let reply = self.drive_to_end(&drive, resolve).await;
         let sender = self.lock().watched.remove(&drive.key);
         if let Some(sender) = sender {
-            sender.send_replace(Some(reply));
+            // Nobody may wait any longer.
+            let _ = sender.send(reply);
         }
     }
 
@@ -224,10 +224,9 @@
                 Tried::Lost(id, doubt) => return self.doubt(drive, id, doubt),
                 Tried::NotRun(id, refusal) => {
                     last = (id, refusal);
-                    if !refusal.elsewhere() || !self.lock().retries.spend() {
+                    if !refusal.elsewhere() || !self.may_retry(true) {
                         return self.refuse(drive, id, refusal);
                     }
-                    self.metrics.retries.inc();
                 }
             }
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -23,7 +23,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{broadcast, oneshot};
 
 use crate::audit::{Audit, Event};
 use crate::node::Options;
@@ -38,6 +38,7 @@
     pub clock_ms: Option<(u64, Micros)>,
     pub chart_node: Chart,
     pub chart_upstream: Chart,
+    pub detours: Share,
     pub fleet: Fleet,
     pub gate: Gate,
     pub hedges: Share,
@@ -60,14 +61,16 @@
     pub trials: BTreeSet<u64>,
     pub upstream_state: ChartState,
     pub waiters: BTreeMap<u64, oneshot::Sender<Step>>,
-    pub watched: BTreeMap<OpKey, watch::Sender<Option<Reply>>>,
+    pub watched: BTreeMap<OpKey, broadcast::Sender<Reply>>,
     pub zone: String,
 }
 
 const RETRY_SHARE: f64 = 0.05;
 const HEDGE_SHARE: f64 = 0.04;
 const MEASURE_SHARE: f64 = 0.008;
+const DETOUR_SHARE: f64 = 0.2;
 const BURST: f64 = 10.0;
+const EXTRA_BURST: f64 = 2.0;
 const CHANGE_LOG: usize = 4_096;
 const AUDIT_LINES: usize = 4_096;
 const TALLY_ROWS: usize = 32_768;
@@ -102,9 +105,10 @@
             chart_node,
             chart_upstream,
             clock_ms: options.wall_ms.map(|ms| (ms, now)),
+            detours: Share::new(DETOUR_SHARE, BURST),
             fleet: Fleet::default(),
             gate: Gate::new(UNKNOWN_BOUNDS, now),
-            hedges: Share::new(HEDGE_SHARE, BURST),
+            hedges: Share::new(HEDGE_SHARE, EXTRA_BURST),
             me,
             notices: Share::new(MEASURE_SHARE, BURST),
             owner_ids: BTreeMap::new(),
@@ -112,7 +116,7 @@
             probes: Share::new(MEASURE_SHARE, BURST),
             pulling: false,
             recent: BTreeMap::new(),
-            retries: Share::new(RETRY_SHARE, BURST),
+            retries: Share::new(RETRY_SHARE, EXTRA_BURST),
             rng,
             service: options.service.clone(),
             spread: Spread::new(CHANGE_LOG),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,10 +1,12 @@
 //! Graceful shutdown.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bbv_core::id::{NodeId, Vm};
+use bbv_core::operation::Handoff;
 use bbv_core::units::{MS, Micros, SEC};
-use bbv_wire::{Ask, Reply};
+use bbv_wire::{Answer, Ask, Reply};
 
 use crate::audit::Event;
 use crate::node::Node;
@@ -17,13 +19,13 @@
 const HANDOFF_TRIES: usize = 5;
 
 impl Node {
-    /// Stops taking new work, finishes what runs, and hands the records over.
+    /// Stops taking new work for the upstream and finishes what runs on it.
     ///
-    /// Returns whether everything was finished and handed over within [`STOP_WITHIN`].
+    /// Calls that still come are served by other gates. Returns whether the upstream was
+    /// idle within [`STOP_WITHIN`].
     pub async fn drain(self: &Arc<Self>) -> bool {
-        let deadline = self.now() + STOP_WITHIN;
+        let now = self.now();
         {
-            let now = self.now();
             let mut state = self.lock();
             state.node_event(now, "stop");
             for owner in state.owners.values_mut() {
@@ -31,7 +33,21 @@
             }
         }
         self.announce_stop();
-        let idle = self.settle_all(deadline).await;
+        self.settle(now + STOP_WITHIN, |node| {
+            let state = node.lock();
+            state.gate.running() == 0 && state.waiters.is_empty()
+        })
+        .await
+    }
+
+    /// Ends a planned stop when callers can no longer connect: finishes their calls, hands
+    /// the records over and logs the counts.
+    ///
+    /// Returns whether everything was finished and handed over within [`STOP_WITHIN`].
+    pub async fn finish(self: &Arc<Self>) -> bool {
+        let deadline = self.now() + STOP_WITHIN;
+        let no_calls = |node: &Node| node.open_calls.load(Ordering::Relaxed) == 0;
+        let idle = self.settle(deadline, no_calls).await;
         let handed = self.hand_off(deadline).await;
         let now = self.now();
         self.lock().node_event(now, "drained");
@@ -56,20 +72,14 @@
         }
     }
 
-    async fn settle_all(self: &Arc<Self>, deadline: Micros) -> bool {
-        loop {
-            let busy = {
-                let state = self.lock();
-                state.gate.running() > 0 || !state.waiters.is_empty() || !state.watched.is_empty()
-            };
-            if !busy {
-                return true;
-            }
+    async fn settle(self: &Arc<Self>, deadline: Micros, idle: impl Fn(&Node) -> bool) -> bool {
+        while !idle(self) {
             if self.now() >= deadline {
                 return false;
             }
             self.timer.sleep(SETTLE_EVERY).await;
         }
+        true
     }
 
     async fn hand_off(self: &Arc<Self>, deadline: Micros) -> bool {
@@ -98,13 +108,21 @@
         false
     }
 
+    fn freeze_records(&self, id: NodeId, successor: Vm) -> Option<Handoff<Answer>> {
+        let now = self.now();
+        let mut state = self.lock();
+        let owner = state.owners.get_mut(&id).expect("own records are kept");
+        owner.hand_off(now, successor)
+    }
+
     async fn offer_records(self: &Arc<Self>, id: NodeId, successor: Vm, deadline: Micros) -> Offer {
+        let mut handoff = self.freeze_records(id, successor);
+        while handoff.is_none() && self.now() < deadline {
+            // An operation is under way; its record is handed over when it has ended.
+            self.timer.sleep(SETTLE_EVERY).await;
+            handoff = self.freeze_records(id, successor);
+        }
         let now = self.now();
-        let handoff = {
-            let mut state = self.lock();
-            let owner = state.owners.get_mut(&id).expect("own records are kept");
-            owner.hand_off(now, successor)
-        };
         let Some(handoff) = handoff else { return Offer::Unknown };
         let mut sent = false;
         for _ in 0..HANDOFF_TRIES {
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -216,6 +216,11 @@
         self.members.lock().contains_key(&member.vm)
     }
 
+    /// Tells whether the process of a member has ended.
+    pub fn is_dead(&self, member: &Member) -> bool {
+        self.gone.lock().iter().any(|gone| gone.vm == member.vm)
+    }
+
     /// Waits for the way between a caller and a node.
     pub async fn client_delay(&self) {
         let jitter = -(1.0 - self.rng.lock().random::<f64>()).ln() * self.plan.jitter;
@@ -395,7 +400,10 @@
         self.list(&new, false);
         self.timer.sleep(LIST_LAG).await;
         member.node.drain().await;
-        let running = u64::from(member.model.running());
+        // Callers can no longer connect; their open calls are finished.
+        self.members.lock().remove(&member.vm);
+        member.node.finish().await;
+        let running = u64::from(member.model.running()) + member.node.open_calls();
         self.observer.note(|facts| facts.cut += running);
         self.remove(&member);
         self.timer.sleep(LIST_LAG).await;
