--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -141,7 +141,8 @@
     /// Takes the upstream to be cold when several requests run far too long.
     fn watch(&mut self, now: Micros) {
         let base = self.limit.baseline();
-        if self.doubt.is_some() {
+        // An upstream that is known to be cold is slow anyway, and its ramp goes on.
+        if self.doubt.is_some() || !self.ramp.warm(now) {
             return;
         }
         let fresh = self.starts.iter().filter(|(_, at)| *at >= self.doubted_at);
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -135,6 +135,21 @@
     assert!(gate.load(now).service_us < 15 * MS as u32);
 }
 
+#[test]
+fn stall_during_a_known_warm_up_does_not_shorten_it() {
+    let mut gate = warm();
+    gate.chill(WARM_AT);
+    let now = run_each(&mut gate, WARM_AT + 2 * SEC, 1_000..1_020, SERVICE);
+    assert_eq!(fill(&mut gate, now, 2_000..2_004), 4);
+    let later = now + 5 * SERVICE;
+    gate.poll(later, &mut Vec::new());
+    for id in 2_000..2_004 {
+        gate.finish(later, id, 0, good(5 * SERVICE), None);
+    }
+    let now = run_each(&mut gate, later, 3_000..3_006, SERVICE);
+    assert!(!gate.warm(now));
+}
+
 #[test]
 fn changed_instance_restarts_the_ramp() {
     let mut gate = warm();
