Notice a second cold start during a warm-up

Change: while warming up, a stall is told against the recent latency in place of the usual one, and restarts the ramp.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -140,17 +140,24 @@
 
     /// Takes the upstream to be cold when several requests run far too long.
     fn watch(&mut self, now: Micros) {
-        let base = self.limit.baseline();
-        // An upstream that is known to be cold is slow anyway, and its ramp goes on.
-        if self.doubt.is_some() || !self.ramp.warm(now) {
+        let warm = self.ramp.warm(now);
+        if self.doubt.is_some() {
             return;
         }
+        // An upstream that is known to be cold is slow anyway.
+        let base = self.limit.baseline().max(if warm { 0 } else { self.limit.latency(now) });
         let fresh = self.starts.iter().filter(|(_, at)| *at >= self.doubted_at);
         let ages = fresh.map(|(_, at)| now.saturating_sub(*at));
         let old = ages.clone().filter(|age| *age > COLD_FACTOR * base).count();
         let oldest = ages.max().unwrap_or(0);
-        if old >= STUCK || oldest > STUCK_FACTOR * base {
+        if old < STUCK && oldest <= STUCK_FACTOR * base {
+            return;
+        }
+        if warm {
             self.chill_by_latency(now);
+        } else {
+            self.ramp.chill(now);
+            self.doubted_at = now;
         }
     }
 
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -150,6 +150,17 @@
     assert!(!gate.warm(now));
 }
 
+#[test]
+fn second_cold_start_during_a_warm_up_restarts_it() {
+    let mut gate = warm();
+    gate.chill(WARM_AT);
+    let now = run_each(&mut gate, WARM_AT + 3 * SEC, 1_000..1_020, 2 * SERVICE);
+    assert_eq!(fill(&mut gate, now, 2_000..2_005), 5);
+    let later = now + 10 * SERVICE;
+    gate.poll(later, &mut Vec::new());
+    assert_eq!(gate.allowed(later), 2);
+}
+
 #[test]
 fn changed_instance_restarts_the_ramp() {
     let mut gate = warm();
