Add programs for operators, a caller library, a demo and a load tool

Cause: nodes could be run by tests alone, and their added latency was not known.

Change: bbvctl (check, diff, status, audit, reconcile), a caller library that keeps tickets, bbv-trial demo, stand and load. The node runs on one thread.

--- /dev/null
+++ b/crates/caller/src/call.rs
@@ -0,0 +1,41 @@
+//! A call that a caller makes.
+
+use bytes::Bytes;
+use http::Method;
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query; the first part is the catalogue entry.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+    /// Time left until the answer is useless, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+}
+
+impl Call {
+    /// Creates an idempotent call without a body.
+    ///
+    /// ```
+    /// assert!(bbv_caller::Call::get("/site-history/7").idempotent);
+    /// ```
+    pub fn get(path: &str) -> Self {
+        let path = path.to_owned();
+        Call { method: Method::GET, path, body: Bytes::new(), deadline_ms: None, idempotent: true }
+    }
+
+    /// Creates a call that runs at most once.
+    ///
+    /// ```
+    /// assert!(!bbv_caller::Call::post_once("/certificates", "rod 7").idempotent);
+    /// ```
+    pub fn post_once(path: &str, body: impl Into<Bytes>) -> Self {
+        let (path, body) = (path.to_owned(), body.into());
+        Call { method: Method::POST, path, body, deadline_ms: None, idempotent: false }
+    }
+}
--- a/crates/node/src/cmd/run.rs
+++ b/crates/node/src/cmd/run.rs
@@ -28,8 +28,9 @@
 }
 
 fn start(settings: Settings) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
+    // One thread: a call passes several tasks, and waking another thread costs more than
+    // the work itself.
+    let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("could not start the runtime")?;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -18,6 +18,8 @@
     places: AtomicU64,
     /// Calls from callers.
     pub calls: IntCounter,
+    /// Messages to peers that carry no call.
+    pub control_sent: IntCounter,
     /// Answers that came for another attempt and were dropped.
     pub crossed: IntCounter,
     /// Second attempts sent before the first one ended.
@@ -76,6 +78,7 @@
         Metrics {
             places: AtomicU64::new(0),
             calls: counter(r, "bbv_calls_total", "Calls from callers."),
+            control_sent: counter(r, "bbv_control_messages_total", "Messages without a call."),
             crossed: counter(r, "bbv_crossed_total", "Answers for another attempt, dropped."),
             hedges: counter(r, "bbv_hedges_total", "Second attempts sent early."),
             link_errors: counter(r, "bbv_link_errors_total", "Messages without a reply."),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -134,6 +134,9 @@
     pub(crate) async fn ask(self: &Arc<Self>, vm: Vm, ask: Ask) -> Result<Reply, LinkError> {
         let addr = self.lock().fleet.member(vm).map(|member| member.listed.addr);
         let Some(addr) = addr else { return Err(LinkError::Unsent(format!("{vm} is not listed"))) };
+        if !matches!(ask, Ask::Attempt(_) | Ask::Operate(_)) {
+            self.metrics.control_sent.inc();
+        }
         let sent = self.now();
         match (self.ports.link)(addr, self.envelope(ask)).await {
             Ok(reply) => {
--- /dev/null
+++ b/crates/trial/src/cmd/load.rs
@@ -0,0 +1,87 @@
+//! `bbv-trial load`: calls through nodes, beside direct calls to the same upstream.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bbv_trial::load::{Load, Target};
+use eyre::{Result, eyre};
+use getopts::{Matches, Options};
+use serde::Serialize;
+
+#[derive(Serialize)]
+struct Line {
+    what: &'static str,
+    calls: u64,
+    answered: u64,
+    refused: u64,
+    unknown: u64,
+    calls_per_s: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+    p999_ms: f64,
+}
+
+/// Runs the subcommand.
+pub fn run(args: &[String]) -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "url", "base URL of a node", "URL");
+    options.optopt("", "direct", "base URL of the upstream", "URL");
+    options.optopt("", "path", "path of the calls", "PATH");
+    options.optopt("", "rate", "calls a second", "N");
+    options.optopt("", "open", "calls kept under way, in place of a rate", "N");
+    options.optopt("", "seconds", "length", "N");
+    options.optflag("", "once", "calls that run at most once");
+    match super::parse(&options, args) {
+        Ok(matches) => super::report(start(&matches)),
+        Err(code) => code,
+    }
+}
+
+fn start(matches: &Matches) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(measure(matches))
+}
+
+async fn measure(matches: &Matches) -> Result<()> {
+    let url = matches.opt_str("url").ok_or_else(|| eyre!("--url is missing"))?;
+    let path = matches.opt_str("path").unwrap_or_else(|| "/site-history".to_owned());
+    let seconds = super::number(matches, "seconds", 10)?;
+    let rate = super::number(matches, "rate", 200)? as f64;
+    let open = super::number(matches, "open", 0)? as usize;
+    let idempotent = !matches.opt_present("once");
+    let load = |base: String, idempotent| {
+        Load::new(Target { bases: vec![base], path: path.clone(), idempotent })
+    };
+    let through = load(url, idempotent);
+    let direct = matches.opt_str("direct").map(|base| load(base, true));
+    let span = Duration::from_secs(seconds);
+    if open > 0 {
+        through.closed(open, span).await;
+    } else if let Some(direct) = &direct {
+        tokio::join!(through.open(rate, span, 1), direct.open(rate, span, 2));
+    } else {
+        through.open(rate, span, 1).await;
+    }
+    print("through", &through, seconds)?;
+    direct.iter().try_for_each(|direct| print("direct", direct, seconds))
+}
+
+fn print(what: &'static str, load: &Arc<Load>, seconds: u64) -> Result<()> {
+    let figures = &load.figures;
+    let calls = figures.calls.load(Ordering::Relaxed);
+    let line = Line {
+        what,
+        calls,
+        answered: figures.answered.load(Ordering::Relaxed),
+        refused: figures.refused.load(Ordering::Relaxed),
+        unknown: figures.unknown.load(Ordering::Relaxed),
+        calls_per_s: calls as f64 / seconds.max(1) as f64,
+        p50_ms: figures.latency_ms(0.5),
+        p99_ms: figures.latency_ms(0.99),
+        p999_ms: figures.latency_ms(0.999),
+    };
+    println!("{}", serde_json::to_string(&line)?);
+    Ok(())
+}
--- a/crates/trial/src/cmd/mod.rs
+++ b/crates/trial/src/cmd/mod.rs
@@ -1,6 +1,9 @@
 //! Subcommands.
 
+pub mod demo;
+pub mod load;
 pub mod run;
+pub mod stand;
 
 use std::process::ExitCode;
 
@@ -10,6 +13,13 @@
 bbv-trial: stand-ins, load and trials
 
 usage:
+  bbv-trial demo [--seconds N] [--seed N] [--json]
+      runs real nodes on loopback under a load, on an embedded default
+  bbv-trial stand --catalogue FILE --folder DIR [--nodes N] [--port N] [--median-us N]
+      runs stand-ins, and writes settings and certificates for real nodes
+  bbv-trial load --url URL [--direct URL] [--path PATH] [--rate N | --open N]
+      [--seconds N] [--once]
+      offers calls to a node, beside direct calls to its upstream
   bbv-trial run FILE [--seed N] [--seeds N] [--policy NAME] [--json]
       runs a trial in virtual time; --seeds runs that many seeds in turn
 
--- a/crates/trial/src/http.rs
+++ b/crates/trial/src/http.rs
@@ -17,6 +17,9 @@
 use crate::model::Model;
 use crate::platform::Platform;
 
+/// Header with the time that the upstream took, in microseconds.
+pub const TOOK: &str = "x-took-us";
+
 const BODY_MAX: usize = 1_024 * 1_024;
 
 struct Changes(Arc<Platform>);
@@ -77,8 +80,11 @@
             },
             ttl: u64::MAX,
         };
+        let started = std::time::Instant::now();
         match self.0.run(call).await {
             Ok(answer) => {
+                let took = (started.elapsed().as_micros() as u64).into();
+                response.headers_mut().insert(TOOK, took);
                 let status = StatusCode::from_u16(answer.status).expect("models answer a status");
                 response.status_code(status);
                 if let Some(instance) = answer.instance {
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod http;
 pub mod links;
+pub mod load;
 pub mod model;
 pub mod observer;
 pub mod plan;
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -7,6 +7,9 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     match args.split_first() {
+        Some((name, rest)) if name == "demo" => cmd::demo::run(rest),
+        Some((name, rest)) if name == "load" => cmd::load::run(rest),
+        Some((name, rest)) if name == "stand" => cmd::stand::run(rest),
         Some((name, rest)) if name == "run" => cmd::run::run(rest),
         Some((name, _)) if name == "--help" || name == "-h" => cmd::help(),
         _ => cmd::usage(),
