Ask peers before the platform when a node starts, and measure the spread

Cause: every starting node read the platform at once (206 reads in one second with 200 nodes, so 36,000 with the fleet). The measured time to force counted documents older than the node.

Change: a node with peers in its settings asks them first and reads the platform only when it learned nothing; the report leaves out documents published before the node started.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -19,6 +19,7 @@
 const WATCH: Micros = 10 * SEC;
 const BACKOFF_MIN: Micros = 200 * MS;
 const BACKOFF_MAX: Micros = 10 * SEC;
+const SEED_WAIT: Micros = SEC;
 const IDLE_READER: Micros = SEC;
 
 impl Node {
@@ -162,6 +163,12 @@
     pub(crate) async fn read_platform(self: Arc<Self>) {
         let mut backoff = BACKOFF_MIN;
         let mut first = true;
+        if !self.options.peers.is_empty() {
+            // Peers are asked first, so that a fleet that starts does not read all at once.
+            let jitter = self.lock().rng.random_range(SEED_WAIT..=2 * SEED_WAIT);
+            self.timer.sleep(jitter).await;
+            first = self.lock().spread.through() == 0;
+        }
         loop {
             if !first && !self.reader() {
                 self.timer.sleep(IDLE_READER).await;
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bbv_core::tally::{self, Statement};
-use bbv_core::units::SEC;
+use bbv_core::units::{MS, SEC};
 use bbv_node::audit::Event;
 use serde::{Deserialize, Serialize};
 
@@ -156,16 +156,18 @@
 
 /// Times to force of documents published after the lead, in order.
 fn in_force_delays(world: &World, members: &[Member]) -> Vec<u64> {
-    let mut delays: Vec<u64> = members
-        .iter()
-        .flat_map(|member| {
-            let lines = member.node.audit(0);
+    let mut delays = Vec::new();
+    for member in members {
+        for line in member.node.audit(0) {
+            let Some(delay) = line.delay_ms else { continue };
+            let published = line.at.saturating_sub(delay * MS);
             // A node that started later took older documents over when it began.
-            let started = world.plan.lead;
-            lines.into_iter().filter(move |line| line.event == Event::InForce && line.at >= started)
-        })
-        .filter_map(|line| line.delay_ms.filter(|_| !line.subject.starts_with("vm/")))
-        .collect();
+            let counts = published >= member.started.max(world.plan.lead);
+            if counts && line.event == Event::InForce && !line.subject.starts_with("vm/") {
+                delays.push(delay);
+            }
+        }
+    }
     delays.sort_unstable();
     delays
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -15,6 +15,7 @@
 use bbv_node::{Node, Options};
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinHandle;
 
@@ -32,6 +33,7 @@
 const LIST_LAG: Micros = 2 * SEC;
 const TICKETS: usize = 20_000;
 const TAIL: Micros = 6 * SEC;
+const SEEDS: usize = 3;
 const FIRST_PORT: u16 = 9_000;
 
 /// One node with its upstream.
@@ -49,6 +51,8 @@
     pub node: Arc<Node>,
     /// Upstream.
     pub model: Arc<Model>,
+    /// Time at which the node started.
+    pub started: Micros,
     tasks: Arc<Vec<JoinHandle<()>>>,
 }
 
@@ -150,7 +154,7 @@
             service: service.to_owned(),
             seed: seed ^ self.seed,
             tickets: TICKETS,
-            peers: Vec::new(),
+            peers: self.seeds(),
             wall_ms: Some(self.timer.now() / MS),
             baseline: baseline(self.policy, &self.oracle, rtt),
         };
@@ -161,6 +165,7 @@
             addr,
             zone: zone.to_owned(),
             service: service.to_owned(),
+            started: self.timer.now(),
             tasks: Arc::new(node.start()),
             node,
             model,
@@ -169,6 +174,13 @@
         member
     }
 
+    /// Peers in the settings of a new node.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let members = self.members.lock();
+        let addrs: Vec<SocketAddr> = members.values().map(|member| member.addr).collect();
+        addrs.choose_multiple(&mut *self.rng.lock(), SEEDS).copied().collect()
+    }
+
     fn platform_port(&self) -> PlatformPort {
         let platform = Arc::clone(&self.platform);
         Box::new(move |since, wait| {
