--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -20,6 +20,7 @@
 use crate::plan::Stream;
 use crate::world::World;
 
+const ARRIVALS: u64 = 0x6172;
 const RESENDS: usize = 4;
 const RESEND_AFTER: Micros = 50 * MS;
 const CALLER_GRACE: Micros = 200 * MS;
@@ -33,6 +34,7 @@
     entry: Entry,
     spare: Mutex<Vec<Ticket>>,
     rng: Mutex<SmallRng>,
+    seed: u64,
 }
 
 impl Source {
@@ -44,6 +46,7 @@
             entry: entry.clone(),
             spare: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            seed,
         })
     }
 
@@ -51,10 +54,13 @@
     pub async fn offer(self: Arc<Self>, until: Micros) {
         let timer = self.world.timer.clone();
         let capacity = self.world.plan.capacity(&self.entry.service);
+        // Arrivals have random numbers of their own, so that they are the same for every
+        // policy.
+        let mut arrivals = SmallRng::seed_from_u64(self.seed ^ ARRIVALS);
         let mut at = timer.now() as f64;
         loop {
             let rate = capacity * self.stream.load * self.world.load_factor();
-            let uniform: f64 = self.rng.lock().random();
+            let uniform: f64 = arrivals.random();
             at += -(1.0 - uniform).ln() / rate.max(0.001) * SEC as f64;
             if at as Micros >= until {
                 return;
--- /dev/null
+++ b/crates/trial/tests/trials.rs
@@ -0,0 +1,179 @@
+//! Trials in virtual time against their bounds.
+
+use std::path::Path;
+
+use bbv_trial::plan::Plan;
+use bbv_trial::policy::Policy;
+use bbv_trial::report::Report;
+use bbv_trial::world;
+
+fn plan(name: &str) -> Plan {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios");
+    let read = |name: &str| std::fs::read_to_string(folder.join(name)).map_err(|e| e.to_string());
+    let text = read(&format!("{name}.yaml")).expect("the trial file exists");
+    Plan::parse(&text, read).expect("the trial file is valid")
+}
+
+/// Checks what must hold in every trial.
+fn check_invariants(report: &Report) {
+    let Report { name, seed, .. } = report;
+    let fields = [
+        ("max_inflight_over_cap", report.max_inflight_over_cap),
+        ("cold_overload", report.cold_overload),
+        ("double_runs", report.double_runs),
+        ("false_not_run", report.false_not_run),
+        ("false_answers", report.false_answers),
+        ("crossed_answers", report.crossed_answers),
+        ("cut_requests", report.cut_requests),
+        ("differing", report.differing),
+        ("behind", report.behind),
+        ("reversions", report.reversions),
+    ];
+    for (field, value) in fields {
+        assert_eq!(value, 0, "{field} in {name}, seed {seed}");
+    }
+    assert!(report.late_work_after_out_s <= 4.0, "new work in an out zone, {name}, seed {seed}");
+    assert!(report.poison_crashes <= 2, "poison crashes in {name}, seed {seed}");
+    assert!(report.probe_ratio <= 0.02, "measuring in {name}, seed {seed}");
+    assert!(report.control_bytes_per_node_s <= 17_000.0, "control bytes in {name}, seed {seed}");
+    assert!(report.in_force_max_ms <= 4_000, "configuration in {name}, seed {seed}");
+    assert!(report.platform_reads_per_s <= 2_000, "platform reads in {name}, seed {seed}");
+    assert!(report.calls > 0 && report.agreed > 0);
+}
+
+fn run(name: &str, policy: Policy, seed: u64) -> Report {
+    world::run(&plan(name), policy, seed)
+}
+
+fn ours(name: &str, seed: u64) -> Report {
+    let report = run(name, Policy::Bluebellvale, seed);
+    check_invariants(&report);
+    report
+}
+
+#[test]
+fn same_seed_gives_the_same_report() {
+    for name in ["pararrayos-kill", "serimas-zone-out"] {
+        let (a, b) = (ours(name, 7), ours(name, 7));
+        assert_eq!(a, b);
+    }
+}
+
+#[test]
+fn tail_is_near_the_oracle_at_80_percent() {
+    for name in ["pararrayos-steady-80", "serimas-steady-80"] {
+        let (report, oracle) = (ours(name, 1), run(name, Policy::Oracle, 1));
+        assert!(report.p99_ms <= 1.25 * oracle.p99_ms, "{} and {}", report.p99_ms, oracle.p99_ms);
+    }
+}
+
+#[test]
+fn tail_stays_short_while_an_upstream_slows_down() {
+    for name in ["pararrayos-slow", "serimas-slow"] {
+        let (report, oracle) = (ours(name, 1), run(name, Policy::Oracle, 1));
+        let naive = run(name, Policy::RoundRobin, 1);
+        assert!(report.p99_ms <= 1.5 * oracle.p99_ms, "{} and {}", report.p99_ms, oracle.p99_ms);
+        assert!(report.p99_ms <= 0.5 * naive.p99_ms, "{} and {}", report.p99_ms, naive.p99_ms);
+    }
+}
+
+#[test]
+fn overload_keeps_the_capacity_in_use() {
+    for name in ["pararrayos-overload-150", "pararrayos-overload-300", "serimas-overload-150"] {
+        let report = ours(name, 1);
+        assert!(report.goodput >= 0.95, "{name}: {}", report.goodput);
+        assert_eq!(report.unknown, 0);
+    }
+}
+
+#[test]
+fn noisy_owner_does_not_lengthen_its_neighbours_tail() {
+    let (quiet, noisy) = (ours("pararrayos-quiet", 1), ours("pararrayos-noisy", 1));
+    for entry in ["site-history", "certificates"] {
+        let (alone, beside) = (quiet.entry_p99_ms[entry], noisy.entry_p99_ms[entry]);
+        assert!(beside <= 1.2 * alone, "{entry}: {beside} beside {alone}");
+    }
+}
+
+#[test]
+fn cold_upstreams_get_what_they_bear() {
+    for seed in 1..4 {
+        for name in ["pararrayos-cold", "serimas-cold"] {
+            ours(name, seed);
+        }
+    }
+    for name in ["pararrayos-replace-third", "serimas-replace-third"] {
+        assert_eq!(ours(name, 1).unknown, 0);
+    }
+}
+
+#[test]
+fn planned_stops_cut_nothing() {
+    for name in ["pararrayos-rolling-stop", "serimas-rolling-stop"] {
+        let report = ours(name, 1);
+        assert_eq!(report.unknown, 0, "{name}");
+    }
+}
+
+#[test]
+fn zone_leaves_and_returns_in_service() {
+    for (name, steady) in
+        [("pararrayos-zone-out", "pararrayos-steady-50"), ("serimas-zone-out", "serimas-steady-50")]
+    {
+        let (report, quiet) = (ours(name, 1), ours(steady, 1));
+        let share = report.answered as f64 / report.calls as f64;
+        assert!(share >= 0.999, "{name}: {share}");
+        assert!(report.p99_ms <= 1.5 * quiet.p99_ms, "{name}: {}", report.p99_ms);
+    }
+}
+
+#[test]
+fn fail_fast_upstream_does_not_attract_calls() {
+    let report = ours("pararrayos-fail-fast", 1);
+    assert!(report.failed as f64 <= 0.001 * report.calls as f64, "{} failed", report.failed);
+}
+
+#[test]
+fn poison_request_crashes_two_upstreams_at_most() {
+    for name in ["pararrayos-poison", "serimas-poison"] {
+        let report = ours(name, 1);
+        assert!(report.poison_crashes > 0, "{name}: the request crashed nothing");
+    }
+}
+
+#[test]
+fn brown_out_is_not_made_worse_by_retries() {
+    let report = ours("pararrayos-brown-out", 1);
+    assert!(report.retries_ratio <= 0.1, "{}", report.retries_ratio);
+}
+
+#[test]
+fn configuration_reaches_every_node_in_time() {
+    for (name, seed) in [("fleet-7", 1), ("fleet-20", 1), ("fleet-70", 1)] {
+        let report = ours(name, seed);
+        assert!(report.in_force_p99_ms <= 2_000, "{name}: {}", report.in_force_p99_ms);
+    }
+}
+
+#[test]
+fn everything_at_once() {
+    for seed in 1..3 {
+        ours("pararrayos-nasty", seed);
+        ours("serimas-nasty", seed);
+    }
+}
+
+/// Without contention, faults or staleness the node's policy and the naive one agree.
+#[test]
+fn quiet_runs_agree_with_round_robin() {
+    for seed in 1..4 {
+        let mut plan = plan("pararrayos-quiet");
+        plan.streams.iter_mut().for_each(|stream| stream.load = 0.02);
+        let report = world::run(&plan, Policy::Bluebellvale, seed);
+        let naive = world::run(&plan, Policy::RoundRobin, seed);
+        check_invariants(&report);
+        assert_eq!((report.calls, report.answered), (naive.calls, naive.answered));
+        assert_eq!((report.refused_not_run, report.unknown, report.failed), (0, 0, 0));
+        assert_eq!((naive.refused_not_run, naive.unknown, naive.failed), (0, 0, 0));
+    }
+}
