Learn nothing from a request that ran out of time

A request whose deadline passed was recorded as a good answer that took the time left, which made a cold upstream look faster than a warm one; and a second cold start during a warm-up was noticed late.

Change: its slot is given back without learning; while warming up two requests above three times the recent latency restart the ramp.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -72,6 +72,7 @@
 const SLOW_SCORE: f64 = 8.0;
 const STUCK: usize = 2;
 const STUCK_FACTOR: u64 = 10;
+const WARMING_FACTOR: u64 = 3;
 const DOUBT_ANSWERS: u32 = 6;
 const DOUBT_GAIN: f64 = 0.2;
 const RECOVERED_RATIO: f64 = 1.25;
@@ -148,9 +149,11 @@
         let base = self.limit.baseline().max(if warm { 0 } else { self.limit.latency(now) });
         let fresh = self.starts.iter().filter(|(_, at)| *at >= self.doubted_at);
         let ages = fresh.map(|(_, at)| now.saturating_sub(*at));
-        let old = ages.clone().filter(|age| *age > COLD_FACTOR * base).count();
+        let (several, single) =
+            if warm { (COLD_FACTOR, STUCK_FACTOR) } else { (WARMING_FACTOR, STUCK_FACTOR) };
+        let old = ages.clone().filter(|age| *age > several * base).count();
         let oldest = ages.max().unwrap_or(0);
-        if old < STUCK && oldest <= STUCK_FACTOR * base {
+        if old < STUCK && oldest <= single * base {
             return;
         }
         if warm {
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -161,6 +161,18 @@
     assert_eq!(gate.allowed(later), 2);
 }
 
+#[test]
+fn cancelled_request_teaches_nothing() {
+    let mut gate = warm();
+    let before = gate.load(WARM_AT).service_us;
+    for id in 1_000..1_020 {
+        assert_eq!(gate.offer(WARM_AT, ask(id, 0, 1.0, WARM_AT)), Admit::Run);
+        gate.release(id, 0);
+    }
+    assert_eq!(gate.load(WARM_AT).service_us, before);
+    assert_eq!(gate.running(), 0);
+}
+
 #[test]
 fn changed_instance_restarts_the_ramp() {
     let mut gate = warm();
--- a/crates/node/src/door.rs
+++ b/crates/node/src/door.rs
@@ -165,7 +165,8 @@
             None => self.timer.limit(deadline, run).await,
         };
         let Some(result) = result else {
-            self.end_run(&mut slot, Finish { latency: ttl, good: true }, None);
+            // The time that was left tells nothing of the upstream's latency; the slot is
+            // given back without learning.
             return Reply::Unknown { attempt: id, doubt: Doubt::Late };
         };
         let latency = self.now().saturating_sub(started);
