--- a/crates/trial/src/cluster.rs
+++ b/crates/trial/src/cluster.rs
@@ -32,6 +32,8 @@
     pub callers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
+    /// Address for peers.
+    pub peer: SocketAddr,
     /// Address of the upstream stand-in.
     pub upstream: SocketAddr,
     endpoint: Endpoint,
@@ -47,6 +49,8 @@
     pub observer: Arc<Observer>,
     /// Nodes in order of VM.
     pub members: Vec<Member>,
+    /// Authority of the nodes' certificates.
+    pub authority: Authority,
     /// Base URL of the platform stand-in.
     pub platform_url: String,
     _platform: Running,
@@ -79,17 +83,17 @@
             platform,
             observer: Arc::default(),
             members: Vec::new(),
+            authority: Authority::new()?,
             _platform: served,
         };
-        let authority = Authority::new()?;
         let zones: Vec<&String> = catalogue.zones.iter().collect();
         let mut vm = 0;
         for pool in pools {
             for _ in 0..pool.endpoints {
                 let zone = zones.get(vm as usize % zones.len().max(1));
                 let zone = zone.ok_or_else(|| eyre!("the catalogue has no zone"))?;
-                let member =
-                    cluster.member(&authority, catalogue, pool, vm, zone, seed, warm).await?;
+                let seed = seed.wrapping_mul(1_000_003).wrapping_add(u64::from(vm));
+                let member = cluster.member(catalogue, pool, Vm(vm), zone, seed, warm).await?;
                 cluster.members.push(member);
                 vm += 1;
             }
@@ -97,13 +101,11 @@
         Ok(cluster)
     }
 
-    #[allow(clippy::too_many_arguments)]
     async fn member(
         &self,
-        authority: &Authority,
         catalogue: &Catalogue,
         pool: &Pool,
-        vm: u32,
+        vm: Vm,
         zone: &str,
         seed: u64,
         warm: bool,
@@ -113,10 +115,9 @@
             .get(&pool.service)
             .ok_or_else(|| eyre!("service {} is not in the catalogue", pool.service))?;
         let timer = Timer::real();
-        let seed = seed.wrapping_mul(1_000_003).wrapping_add(u64::from(vm));
-        let model = Model::new(vm, service, pool, &timer, &self.observer, seed, !warm);
+        let model = Model::new(vm.0, service, pool, &timer, &self.observer, seed, !warm);
         let behind = serve_upstream(any_port(), model.clone()).await?;
-        let endpoint = quic::bind(any_port(), &authority.issue()?)?;
+        let endpoint = quic::bind(any_port(), &self.authority.issue()?)?;
         let peer = endpoint.local_addr().wrap_err("could not read the peer address")?;
         let ports = Ports {
             link: quic::port(endpoint.clone()),
@@ -125,7 +126,7 @@
         };
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let options = Options {
-            vm: Vm(vm),
+            vm,
             zone: zone.to_owned(),
             service: pool.service.clone(),
             seed,
@@ -140,19 +141,20 @@
         let callers = server::serve_callers(any_port(), node.clone()).await?;
         let operators = server::serve_operators(any_port(), node.clone()).await?;
         let listed = Listed {
-            vm: Vm(vm),
+            vm,
             addr: peer,
             zone: zone.to_owned(),
             service: pool.service.clone(),
             leaving: false,
         };
         let text = serde_json::to_string(&listed).wrap_err("could not encode the list")?;
-        self.platform.publish(&format!("vm/{vm}"), Some(text));
+        self.platform.publish(&format!("vm/{}", vm.0), Some(text));
         Ok(Member {
             node,
             model,
             callers: callers.addr,
             operators: operators.addr,
+            peer,
             upstream: behind.addr,
             endpoint,
             servers: vec![behind, callers, operators],
