Index the fleet by service and keep a choice only for services that are called

Change: members are indexed by service, a choice is made when a service is first called, a change touches only what it names, and random peers are sampled without a walk over the list.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,8 +1,10 @@
 //! Members of the fleet, from the published list and from what peers show.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::id::{NodeId, Vm};
@@ -53,35 +55,93 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     members: BTreeMap<Vm, Member>,
+    services: BTreeMap<String, BTreeSet<Vm>>,
+    order: Vec<Vm>,
 }
 
 const FAILURES: u32 = 2;
+const SAMPLE_TRIES: usize = 8;
 const BACKOFF: Micros = 100 * MS;
 const BACKOFF_MAX: Micros = 2 * SEC;
 
 impl Fleet {
-    /// Takes over a newer list; what peers showed about VMs that remain is kept.
+    /// Takes over one VM of the list; what its node showed is kept while its address is
+    /// the same.
     ///
     /// ```
-    /// bbv_core::fleet::Fleet::default().set_list(&[]);
+    /// use bbv_core::{fleet::{Fleet, Listed}, id::Vm};
+    /// let addr = "127.0.0.1:9000".parse()?;
+    /// let (zone, service) = ("a".to_owned(), "records".to_owned());
+    /// let mut fleet = Fleet::default();
+    /// fleet.insert(Listed { vm: Vm(1), addr, zone, service, leaving: false });
+    /// assert_eq!(fleet.of_service("records").count(), 1);
+    /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
-    pub fn set_list(&mut self, list: &[Listed]) {
-        let mut next = BTreeMap::new();
-        for listed in list {
-            let known = self.members.remove(&listed.vm);
-            let same = known.filter(|member| member.listed.addr == listed.addr);
-            let mut member = same.unwrap_or_else(|| Member {
-                listed: listed.clone(),
-                incarnation: None,
-                stopping: false,
-                heard: 0,
-                failures: 0,
-                retry_at: 0,
-            });
-            member.listed = listed.clone();
-            next.insert(listed.vm, member);
+    pub fn insert(&mut self, listed: Listed) {
+        let vm = listed.vm;
+        let known = self.members.remove(&vm);
+        match &known {
+            None => self.order.push(vm),
+            Some(known) => self.unlink(&known.listed.service, vm),
         }
-        self.members = next;
+        self.services.entry(listed.service.clone()).or_default().insert(vm);
+        let same = known.filter(|member| member.listed.addr == listed.addr);
+        let mut member = same.unwrap_or_else(|| Member {
+            listed: listed.clone(),
+            incarnation: None,
+            stopping: false,
+            heard: 0,
+            failures: 0,
+            retry_at: 0,
+        });
+        member.listed = listed;
+        self.members.insert(vm, member);
+    }
+
+    /// Removes a VM that is gone from the list.
+    ///
+    /// ```
+    /// bbv_core::fleet::Fleet::default().remove(bbv_core::id::Vm(1));
+    /// ```
+    pub fn remove(&mut self, vm: Vm) {
+        let Some(member) = self.members.remove(&vm) else { return };
+        self.unlink(&member.listed.service, vm);
+        self.order.retain(|other| *other != vm);
+    }
+
+    fn unlink(&mut self, service: &str, vm: Vm) {
+        if let Some(vms) = self.services.get_mut(service) {
+            vms.remove(&vm);
+        }
+    }
+
+    /// Members that run a service.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Member> {
+        let vms = self.services.get(service).into_iter().flatten();
+        vms.filter_map(|vm| self.members.get(vm))
+    }
+
+    /// Returns up to `count` reachable members other than `me`, at random.
+    ///
+    /// ```
+    /// use rand::{SeedableRng, rngs::SmallRng};
+    /// let mut rng = SmallRng::seed_from_u64(1);
+    /// let fleet = bbv_core::fleet::Fleet::default();
+    /// assert!(fleet.sample(0, bbv_core::id::Vm(1), 3, &mut rng).is_empty());
+    /// ```
+    pub fn sample(&self, now: Micros, me: Vm, count: usize, rng: &mut impl Rng) -> Vec<Vm> {
+        let mut chosen = Vec::with_capacity(count);
+        for _ in 0..count * SAMPLE_TRIES {
+            let Some(vm) = self.order.choose(rng).copied() else { break };
+            let usable = vm != me && !chosen.contains(&vm) && self.reachable(now, vm);
+            if usable {
+                chosen.push(vm);
+            }
+            if chosen.len() == count {
+                break;
+            }
+        }
+        chosen
     }
 
     /// Records a message from a node.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,7 +8,6 @@
 use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_wire::{Ask, Reply};
 use rand::Rng;
-use rand::seq::IndexedRandom;
 
 use crate::audit::Event;
 use crate::node::Node;
@@ -65,7 +64,7 @@
                     Taken::Refused(change, reason) => (change, Event::Refused, reason),
                 };
                 if event == Event::InForce {
-                    state.catalogue.apply(&change);
+                    state.reconfigure(now, &change);
                 } else {
                     self.metrics.refused_docs.inc();
                 }
@@ -75,7 +74,8 @@
                 state.audit.write_revision(now, event, &key, &cause, revision, delay);
                 push.push(change);
             }
-            state.reconfigure(now);
+            state.close_gate(now);
+            state.refresh_candidates(now);
             self.metrics.revision.set(state.spread.through().cast_signed());
         }
         self.push(push);
@@ -99,10 +99,7 @@
         let now = self.now();
         let mut state = self.lock();
         let state = &mut *state;
-        let others = state.fleet.members().filter(|member| member.listed.vm != state.me.vm);
-        let reachable = others.filter(|member| state.fleet.reachable(now, member.listed.vm));
-        let vms: Vec<Vm> = reachable.map(|member| member.listed.vm).collect();
-        vms.choose_multiple(&mut state.rng, count).copied().collect()
+        state.fleet.sample(now, state.me.vm, count, &mut state.rng)
     }
 
     /// Asks the node on `vm` for the changes that this node lacks.
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -133,7 +133,7 @@
         if request.body.len() as u64 > entry.body_limit_kb * 1_024 {
             return Err(Refusal::BodyTooLarge);
         }
-        if !state.steers.contains_key(&entry.service) {
+        if !state.catalogue.services.contains_key(&entry.service) {
             return Err(Refusal::NoUpstream);
         }
         Ok(entry.clone())
@@ -153,6 +153,7 @@
             let vms = state.vms_of(&entry.service);
             return suspect::arbiter(print, &vms, crashed).filter(|vm| !tried.contains(vm));
         }
+        state.ensure_steer(now, &entry.service);
         let steer = state.steers.get(&entry.service)?;
         steer.pick(now, tried, &mut state.rng)
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,7 +13,7 @@
 use bbv_core::outcome::Refusal;
 use bbv_core::queue;
 use bbv_core::ramp::Warmup;
-use bbv_core::spread::Spread;
+use bbv_core::spread::{Change, Spread};
 use bbv_core::steer::{Candidate, Steer};
 use bbv_core::suspect::Suspects;
 use bbv_core::tally::Tally;
@@ -214,43 +214,62 @@
         }
     }
 
-    /// Rebuilds everything that is derived from the configuration.
-    pub fn reconfigure(&mut self, now: Micros) {
-        let list: Vec<_> = self.catalogue.vms.values().cloned().collect();
-        self.fleet.set_list(&list);
-        if let Some(service) = self.catalogue.services.get(&self.service) {
-            self.gate.rebound(service.bounds(), now);
+    /// Applies a document that came into force to everything derived from it.
+    pub fn reconfigure(&mut self, now: Micros, change: &Change) {
+        self.catalogue.apply(change);
+        let (kind, name) = change.key.split_once('/').unwrap_or((&change.key, ""));
+        match (kind, name.parse().map(Vm)) {
+            ("vm", Ok(vm)) => match self.catalogue.vms.get(&vm) {
+                Some(listed) => self.fleet.insert(listed.clone()),
+                None => self.fleet.remove(vm),
+            },
+            ("service", _) if name == self.service => {
+                if let Some(service) = self.catalogue.services.get(name) {
+                    self.gate.rebound(service.bounds(), now);
+                }
+            }
+            _ => {}
         }
-        self.close_gate(now);
-        self.refresh_candidates(now);
     }
 
-    /// Rebuilds the candidates of each service from the list and what is out.
+    /// Rebuilds the candidates of each service that is called from this node.
     pub fn refresh_candidates(&mut self, now: Micros) {
-        for (name, service) in &self.catalogue.services {
-            let bounds = service.bounds();
-            let steer = self
-                .steers
-                .entry(name.clone())
-                .or_insert_with(|| Steer::new(self.me.vm, bounds.usual, bounds.slots));
-            steer.set_usual(bounds.usual, bounds.slots);
-            let out = &self.catalogue.out;
-            let usable = self.fleet.members().filter(|member| {
-                let listed = &member.listed;
-                listed.service == *name
-                    && !out.zones.contains(&listed.zone)
-                    && !out.vms.contains(&listed.vm)
-                    && self.fleet.usable(now, listed.vm)
-            });
-            let candidates: Vec<Candidate> = usable
-                .map(|member| Candidate {
-                    vm: member.listed.vm,
-                    link: self.catalogue.rtt(&self.zone, &member.listed.zone),
-                })
-                .collect();
-            steer.set_candidates(&candidates);
-        }
         self.steers.retain(|name, _| self.catalogue.services.contains_key(name));
+        let names: Vec<String> = self.steers.keys().cloned().collect();
+        for name in names {
+            self.refresh_service(now, &name);
+        }
+    }
+
+    /// Makes sure that there is a choice for a service.
+    pub fn ensure_steer(&mut self, now: Micros, service: &str) {
+        if !self.steers.contains_key(service) {
+            self.refresh_service(now, service);
+        }
+    }
+
+    fn refresh_service(&mut self, now: Micros, name: &str) {
+        let Some(service) = self.catalogue.services.get(name) else { return };
+        let bounds = service.bounds();
+        let steer = self
+            .steers
+            .entry(name.to_owned())
+            .or_insert_with(|| Steer::new(self.me.vm, bounds.usual, bounds.slots));
+        steer.set_usual(bounds.usual, bounds.slots);
+        let out = &self.catalogue.out;
+        let usable = self.fleet.of_service(name).filter(|member| {
+            let listed = &member.listed;
+            !out.zones.contains(&listed.zone)
+                && !out.vms.contains(&listed.vm)
+                && self.fleet.usable(now, listed.vm)
+        });
+        let candidates: Vec<Candidate> = usable
+            .map(|member| Candidate {
+                vm: member.listed.vm,
+                link: self.catalogue.rtt(&self.zone, &member.listed.zone),
+            })
+            .collect();
+        steer.set_candidates(&candidates);
     }
 
     /// Number of an owner's name, local to this node.
@@ -291,7 +310,6 @@
 
     /// VMs that run a service, whatever their state.
     pub fn vms_of(&self, service: &str) -> Vec<Vm> {
-        let members = self.fleet.members().filter(|member| member.listed.service == service);
-        members.map(|member| member.listed.vm).collect()
+        self.fleet.of_service(service).map(|member| member.listed.vm).collect()
     }
 }
