--- a/crates/trial/src/cmd/mod.rs
+++ b/crates/trial/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands.
 
+pub mod capacity;
 pub mod demo;
 pub mod load;
 pub mod run;
@@ -13,6 +14,8 @@
 bbv-trial: stand-ins, load and trials
 
 usage:
+  bbv-trial capacity
+      measures slopes of memory and time over four sizes
   bbv-trial demo [--seconds N] [--seed N] [--json]
       runs real nodes on loopback under a load, on an embedded default
   bbv-trial stand --catalogue FILE --folder DIR [--nodes N] [--port N] [--median-us N]
