Keep gossip partners and their connections

Cause: a new connection costs 1.15 ms of processor time at both ends and 10.3 KB in both directions (four sizes, bbv-trial capacity).

Change: four partners, kept while they can be reached; one exchange every 500 ms goes round them, so that each connection is used within its idle time of 3 s. A pull gives up after a second.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,12 +8,16 @@
 use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_wire::{Ask, Reply};
 use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use crate::audit::Event;
 use crate::node::Node;
 use crate::ports::Published;
 
+const EXCHANGE_EVERY: Micros = 500 * MS;
 const FANOUT: usize = 3;
+const PARTNERS: usize = 4;
+const PULL_WITHIN: Micros = SEC;
 const READERS: usize = 2;
 const WATCH: Micros = 10 * SEC;
 const BACKOFF_MIN: Micros = 200 * MS;
@@ -86,7 +90,7 @@
         if changes.len() > PUSH_MAX {
             return;
         }
-        for vm in self.random_peers(FANOUT) {
+        for vm in self.peers(FANOUT) {
             let node = Arc::clone(self);
             let changes = changes.clone();
             tokio::spawn(async move {
@@ -95,19 +99,44 @@
         }
     }
 
-    pub(crate) fn random_peers(&self, count: usize) -> Vec<Vm> {
+    /// Returns up to `count` partners in random order.
+    ///
+    /// Partners stay the same while they can be reached, since a new connection costs far
+    /// more than a message.
+    fn peers(&self, count: usize) -> Vec<Vm> {
         let now = self.now();
         let mut state = self.lock();
         let state = &mut *state;
-        state.fleet.sample(now, state.me.vm, count, &mut state.rng)
+        let fleet = &state.fleet;
+        state.partners.retain(|vm| fleet.member(*vm).is_some() && fleet.reachable(now, *vm));
+        if state.partners.len() < PARTNERS {
+            for vm in fleet.sample(now, state.me.vm, PARTNERS, &mut state.rng) {
+                if state.partners.len() < PARTNERS && !state.partners.contains(&vm) {
+                    state.partners.push(vm);
+                }
+            }
+        }
+        state.partners.choose_multiple(&mut state.rng, count).copied().collect()
+    }
+
+    /// Returns the partner whose turn it is.
+    fn next_partner(&self) -> Option<Vm> {
+        self.peers(0);
+        let mut state = self.lock();
+        if state.partners.is_empty() {
+            return None;
+        }
+        state.partners.rotate_left(1);
+        state.partners.last().copied()
     }
 
     /// Asks the node on `vm` for the changes that this node lacks.
     pub(crate) async fn pull(self: &Arc<Self>, vm: Vm) {
         let through = self.lock().spread.through();
-        let reply = self.ask(vm, Ask::Pull(through)).await;
+        let until = self.now() + PULL_WITHIN;
+        let reply = self.timer.limit(until, self.ask(vm, Ask::Pull(through))).await;
         self.lock().pulling = false;
-        if let Ok(Reply::Changes(since)) = reply {
+        if let Some(Ok(Reply::Changes(since))) = reply {
             self.take_since(since);
             self.caught_up();
         }
@@ -136,12 +165,13 @@
         }
     }
 
-    /// Exchanges changes with a random peer once a second.
+    /// Exchanges changes with one partner after the other, often enough to keep the
+    /// connections to them open.
     pub(crate) async fn exchange(self: Arc<Self>) {
-        let mut ticks = self.timer.every(SEC);
+        let mut ticks = self.timer.every(EXCHANGE_EVERY);
         loop {
             ticks.next().await;
-            if let [vm] = self.random_peers(1)[..] {
+            if let Some(vm) = self.next_partner() {
                 self.pull(vm).await;
             }
         }
--- a/crates/trial/src/cmd/capacity.rs
+++ b/crates/trial/src/cmd/capacity.rs
@@ -1,6 +1,7 @@
 //! `bbv-trial capacity`: slopes of memory and time, over four sizes each.
 
 use std::hint::black_box;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -14,6 +15,9 @@
 use bbv_core::steer::{Candidate, Steer};
 use bbv_core::tally::{Mark, Row, Side, Tally};
 use bbv_core::ticket::Key;
+use bbv_node::quic;
+use bbv_trial::cluster::Cluster;
+use bbv_trial::plan::Pool;
 use bbv_wire::{Answer, Ask, AskEnvelope, Attempt, Request, decode_ask, encode_ask};
 use eyre::Result;
 use rand::SeedableRng;
@@ -233,6 +237,52 @@
     println!("what=\"time to encode and decode one attempt\" unit=\"ns\" value={cost:.0}");
 }
 
+/// Processor time of this process in seconds.
+fn processor() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/self/stat")?;
+    let fields: Vec<f64> = text.split_whitespace().map(|f| f.parse().unwrap_or(0.0)).collect();
+    Ok((fields[13] + fields[14]) / TICKS_PER_S)
+}
+
+/// Bytes sent over the loopback interface since the machine started.
+fn loopback() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/net/dev")?;
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:")).unwrap_or("0");
+    Ok(line.split_whitespace().next().unwrap_or("0").parse()?)
+}
+
+const TICKS_PER_S: f64 = 100.0;
+const CONNECTIONS: [usize; 4] = [100, 200, 400, 800];
+
+/// Processor time of both ends of new connections that carry one message each.
+async fn connection_cost() -> Result<()> {
+    let catalogue = Catalogue::parse(CATALOGUE).map_err(|faults| eyre::eyre!("{faults}"))?;
+    let service = "inspection-records".to_owned();
+    let pools = [Pool { service, endpoints: 1, median: 1_000, sigma: 0.0 }];
+    let cluster = Cluster::start(&catalogue, &pools, 1, true).await?;
+    cluster.ready().await?;
+    let identity = cluster.authority.issue()?;
+    let endpoint = quic::bind(SocketAddr::from(([127, 0, 0, 1], 0)), &identity)?;
+    let (mut points, mut bytes) = (Vec::new(), Vec::new());
+    for count in CONNECTIONS {
+        let (before, sent) = (processor()?, loopback()?);
+        for _ in 0..count {
+            let link = quic::port(endpoint.clone());
+            let from = NodeId::default();
+            let probe = AskEnvelope { from, revision: 0, stopping: false, ask: Ask::Probe };
+            link(cluster.members[0].peer, probe).await?;
+        }
+        points.push((count as f64, (processor()? - before) * 1e6));
+        bytes.push((count as f64, loopback()? - sent));
+    }
+    print("processor time of both ends, by new connections", "us", &points);
+    print("bytes in both directions, by new connections", "bytes", &bytes);
+    cluster.stop();
+    Ok(())
+}
+
+const CATALOGUE: &str = include_str!("../../../../examples/pararrayos.yaml");
+
 fn measure() -> Result<()> {
     memory("configuration, by documents", configuration)?;
     memory("operation records with 200-byte answers", operations)?;
@@ -241,5 +291,6 @@
     change_cost();
     pick_cost();
     message_cost();
-    Ok(())
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(connection_cost())
 }
