--- a/crates/core/tests/catalogue_files.rs
+++ b/crates/core/tests/catalogue_files.rs
@@ -12,7 +12,7 @@
 }
 
 fn faults(path: &Path) -> Outcome {
-    let faults = Catalogue::parse(&std::fs::read_to_string(path)?).unwrap_err();
+    let faults = Catalogue::parse(&std::fs::read_to_string(path)?).expect_err("the file is faulty");
     let lines: Vec<String> = faults.0.iter().map(|fault| fault.to_string()).collect();
     insta::assert_snapshot!(name(path), lines.join("\n"));
     Ok(())
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -182,7 +182,9 @@
         Refusal::Malformed => "the request or a header could not be read",
         Refusal::Poison => "this request crashed upstreams; do not send it again",
         Refusal::TicketRequired => "send the call again with the ticket as Idempotency-Key",
-        Refusal::TicketUnknown => "this Idempotency-Key is not a ticket of this service",
+        Refusal::TicketUnknown => {
+            "this key is not a ticket; send the call again with the ticket given here as Idempotency-Key"
+        }
         Refusal::UnknownEntry => "the first part of the path is not an entry of the catalogue",
         _ => "send the call again later",
     }
@@ -261,7 +263,9 @@
             Ok(call) => self.node.call(call).await,
             Err(refusal) => {
                 self.node.metrics().malformed.inc();
-                Outcome::bare(Ending::NotRun(refusal))
+                // A caller with a key of its own is handed a ticket to use in its place.
+                let spare = (refusal == Refusal::TicketUnknown).then(|| self.node.mint()).flatten();
+                Outcome { spare, ..Outcome::bare(Ending::NotRun(refusal)) }
             }
         };
         if let Some(id) = id {
--- /dev/null
+++ b/crates/node/tests/process.rs
@@ -0,0 +1,129 @@
+//! The real process: settings with faults, and SIGTERM while a call is under way.
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bbv_core::catalogue::Catalogue;
+use bbv_core::fleet::Listed;
+use bbv_core::id::Vm;
+use bbv_node::timer::Timer;
+use bbv_trial::certs::Authority;
+use bbv_trial::http::{serve_platform, serve_upstream};
+use bbv_trial::model::Model;
+use bbv_trial::observer::Observer;
+use bbv_trial::plan::Pool;
+use bbv_trial::platform::Platform;
+
+const CATALOGUE: &str = include_str!("../../../examples/pararrayos.yaml");
+const SERVICE: &str = "inspection-records";
+const TRIES: usize = 200;
+
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+/// A port that is free now.
+fn free() -> SocketAddr {
+    let socket = std::net::TcpListener::bind(any()).expect("a free port");
+    socket.local_addr().expect("an address")
+}
+
+fn start(settings: &str) -> Child {
+    let node = Command::new(env!("CARGO_BIN_EXE_bbv-node"))
+        .args(["run", settings])
+        .stderr(Stdio::null())
+        .spawn();
+    node.expect("the node starts")
+}
+
+#[test]
+fn faults_in_settings_are_named() {
+    let folder = std::env::temp_dir().join(format!("bbv-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("node.yaml");
+    std::fs::write(&path, "vm: 1\nzone: a\nservice: b\ncallers: nowhere\n").expect("a file");
+    let output = Command::new(env!("CARGO_BIN_EXE_bbv-node")).arg("check").arg(&path).output();
+    let output = output.expect("the node runs");
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(text.contains("line 4: callers: nowhere is not an IP address with a port"), "{text}");
+    assert!(text.contains("tls: is missing"), "{text}");
+    std::fs::remove_dir_all(folder).expect("the folder is removed");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sigterm_cuts_no_call() {
+    let catalogue = Catalogue::parse(CATALOGUE).expect("the example is valid");
+    let timer = Timer::real();
+    let platform = Arc::new(Platform::new(timer.clone(), 2_000));
+    let observer = Arc::new(Observer::default());
+    let pool = Pool { service: SERVICE.into(), endpoints: 1, median: 300_000, sigma: 0.0 };
+    let service = &catalogue.services[SERVICE];
+    let model = Model::new(1, service, &pool, &timer, &observer, 1, false);
+    let behind = serve_upstream(any(), model).await.expect("an upstream");
+    let config = serve_platform(any(), platform.clone()).await.expect("a platform");
+    let (callers, operators, peer) = (free(), free(), free());
+    let zone = catalogue.zones.iter().next().expect("a zone").clone();
+    for (key, value) in catalogue.documents() {
+        platform.publish(&key, Some(value));
+    }
+    let listed = Listed {
+        vm: Vm(1),
+        addr: peer,
+        zone: zone.clone(),
+        service: SERVICE.into(),
+        leaving: false,
+    };
+    let text = serde_json::to_string(&listed).expect("the list is encoded");
+    platform.publish("vm/1", Some(text));
+
+    let folder = std::env::temp_dir().join(format!("bbv-process-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = |name: &str| folder.join(name).display().to_string();
+    let identity = Authority::new().and_then(|authority| authority.issue()).expect("certificates");
+    for (name, text) in
+        [("ca.pem", &identity.ca), ("cert.pem", &identity.cert), ("key.pem", &identity.key)]
+    {
+        std::fs::write(path(name), text).expect("a file");
+    }
+    let settings = format!(
+        "vm: 1\nzone: {zone}\nservice: {SERVICE}\ncallers: {callers}\noperators: {operators}\n\
+         peer: {peer}\nupstream: http://{}\nplatform: http://{}\n\
+         tls:\n  ca: {}\n  cert: {}\n  key: {}\n",
+        behind.addr,
+        config.addr,
+        path("ca.pem"),
+        path("cert.pem"),
+        path("key.pem")
+    );
+    std::fs::write(path("node.yaml"), settings).expect("a file");
+    let mut node = start(&path("node.yaml"));
+
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let ready = format!("http://{operators}/ready");
+    let mut serving = false;
+    for _ in 0..TRIES {
+        serving = client.get(&ready).send().await.is_ok_and(|r| r.status().is_success());
+        if serving {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(serving, "the node did not become ready");
+    let call = client.get(format!("http://{callers}/site-history/5")).header("x-call", "5").send();
+    let call = tokio::spawn(call);
+    while observer.read(|facts| facts.runs) == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The call runs on the upstream now.
+    let kill = Command::new("kill").args(["-TERM", &node.id().to_string()]).status();
+    assert!(kill.expect("kill runs").success());
+    let response = call.await.expect("the call ends").expect("a response");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.text().await.expect("a body"), "call 5");
+    let status = tokio::task::spawn_blocking(move || node.wait()).await.expect("the task ends");
+    assert!(status.expect("the node exits").success());
+    std::fs::remove_dir_all(folder).expect("the folder is removed");
+}
--- a/crates/trial/tests/path.rs
+++ b/crates/trial/tests/path.rs
@@ -65,6 +65,20 @@
     cluster.stop();
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_own_key_is_answered_with_a_ticket_that_works() {
+    let cluster = cluster().await;
+    let client = client();
+    let url = format!("http://{}/certificates", cluster.members[0].callers);
+    let send = |key: &str| client.post(&url).header("idempotency-key", key).body("rod").send();
+    let refused = send("order-77").await.expect("a response");
+    assert_eq!(refused.headers()["bbv-outcome"], "not-run");
+    assert_eq!(cluster.observer.read(|facts| facts.runs), 0);
+    let ticket = refused.headers()["bbv-ticket"].to_str().expect("a text").to_owned();
+    assert_eq!(send(&ticket).await.expect("a response").status(), 200);
+    cluster.stop();
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bad_input_is_refused_with_a_reason() {
     let cluster = cluster().await;
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -98,7 +98,7 @@
     #[test]
     fn asks_come_back(from in node(), revision: u64, stopping: bool, ask in ask()) {
         let envelope = AskEnvelope { from, revision, stopping, ask };
-        prop_assert_eq!(decode_ask(encode_ask(&envelope).unwrap()).unwrap(), envelope);
+        prop_assert_eq!(decode_ask(encode_ask(&envelope).expect("it is encoded")).expect("it is decoded"), envelope);
     }
 
     #[test]
