--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 mod node;
 mod operate;
+mod options;
 pub mod outcome;
 pub mod platform;
 pub mod ports;
@@ -25,5 +26,6 @@
 pub mod timer;
 pub mod upstream;
 
-pub use node::{Node, Options, Pick};
+pub use node::Node;
+pub use options::{Options, Pick};
 pub use status::Status;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,5 @@
 //! The node: its parts, and the dispatch of messages from peers.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -10,37 +9,14 @@
 use bbv_core::units::{MS, Micros};
 use bbv_wire::{Ask, AskEnvelope, Reply, ReplyEnvelope};
 use parking_lot::{Mutex, MutexGuard};
-use rand::rngs::SmallRng;
 
 use crate::audit::Event;
 use crate::metrics::Metrics;
+use crate::options::Options;
 use crate::ports::{LinkError, Ports};
 use crate::state::State;
 use crate::timer::Timer;
 
-/// Choice of a target by a baseline: service, VMs already tried, VMs in the list.
-pub type Pick = Box<dyn Fn(&str, &[Vm], &[Vm], &mut SmallRng) -> Option<Vm> + Send + Sync>;
-
-/// What a node is told when it starts.
-pub struct Options {
-    /// VM that it runs on.
-    pub vm: Vm,
-    /// Availability zone of the VM.
-    pub zone: String,
-    /// Service of the upstream beside it.
-    pub service: String,
-    /// Seed of its random numbers.
-    pub seed: u64,
-    /// Unexpired tickets that it may have outstanding.
-    pub tickets: usize,
-    /// Peers asked for the configuration before the list is known.
-    pub peers: Vec<SocketAddr>,
-    /// Wall clock in milliseconds at the start, only used to state delays.
-    pub wall_ms: Option<u64>,
-    /// Baseline in place of the node's own steering and admission.
-    pub baseline: Option<Pick>,
-}
-
 /// One node.
 pub struct Node {
     pub(crate) options: Options,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{broadcast, oneshot};
 
 use crate::audit::{Audit, Event};
-use crate::node::Options;
+use crate::options::Options;
 
 /// Key of an operation: the node that minted its ticket and the serial number.
 pub(crate) type OpKey = (NodeId, u64);
