Let a full table of operations fit into the message that hands it over

Cause: 20,000 records with answers of 200 bytes are above the 4 MiB that a message could have, so a planned stop would have lost them.

Change: 16 MiB for the body of a message between nodes.

Before: the hand-over of a full table was refused by the encoder. After: the test encodes and decodes it.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,7 +10,7 @@
 pub const HEAD_MAX: usize = 64 * 1024;
 
 /// Largest body of a frame in bytes.
-pub const BODY_MAX: usize = 4 * 1024 * 1024;
+pub const BODY_MAX: usize = 16 * 1024 * 1024;
 
 /// Largest frame in bytes.
 pub const FRAME_MAX: usize = PREFIX + HEAD_MAX + BODY_MAX;
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,15 +1,18 @@
 //! Decoders take any bytes, and whatever is encoded comes back.
 
 use bbv_core::id::{AttemptId, NodeId, Vm};
+use bbv_core::operation::{Handed, Handoff};
 use bbv_core::outcome::{Doubt, Refusal};
 use bbv_core::spread::{Change, Since};
 use bbv_core::suspect::Crash;
-use bbv_core::ticket::Ticket;
+use bbv_core::ticket::{Key, Ticket};
 use bbv_wire::frame::{BODY_MAX, HEAD_MAX};
 use bbv_wire::*;
 use bytes::Bytes;
 use proptest::prelude::*;
 
+const TICKETS: u64 = 20_000;
+
 fn node() -> impl Strategy<Value = NodeId> {
     (any::<u32>(), any::<u64>()).prop_map(|(vm, incarnation)| NodeId { vm: Vm(vm), incarnation })
 }
@@ -94,6 +97,31 @@
     ]
 }
 
+/// A full table of operations fits into the one message that hands it over.
+#[test]
+fn full_table_can_be_handed_over() {
+    let record = |serial| Handed {
+        serial,
+        state: "done".to_owned(),
+        print: u64::MAX,
+        expiry: 600_000_000,
+        sent: None,
+        answer: Some(Answer { body: vec![7; 200].into(), ..Answer::default() }),
+        refusal: None,
+    };
+    let handoff = Handoff {
+        owner: NodeId::default(),
+        key: Key([1, 2]),
+        next: TICKETS,
+        now: 9,
+        records: (0..TICKETS).map(record).collect(),
+    };
+    let (from, ask) = (NodeId::default(), Ask::Adopt(handoff));
+    let envelope = AskEnvelope { from, revision: 0, stopping: true, ask };
+    let frame = encode_ask(&envelope).unwrap();
+    assert_eq!(decode_ask(frame).unwrap(), envelope);
+}
+
 proptest! {
     #[test]
     fn asks_come_back(from in node(), revision: u64, stopping: bool, ask in ask()) {
