Measure further runs in the worst window of 100 ms

Cause: the bound on retries and hedges holds at every instant, and only the whole run was measured.

Change: the observer counts first and further runs by window.

--- a/crates/trial/src/model.rs
+++ b/crates/trial/src/model.rs
@@ -256,7 +256,7 @@
             return Ok(self.answer(503, format!("failed {id}")));
         }
         let _slot = self.slots.acquire().await.expect("the semaphore is never closed");
-        self.observer.ran(id, find(ONCE).is_some());
+        self.observer.ran(self.timer.now(), id, find(ONCE).is_some());
         let (end, now) = self.draw();
         if find(CRASH).is_some() {
             self.timer.sleep_until(now + (end - now) / 2).await;
--- a/crates/trial/src/observer.rs
+++ b/crates/trial/src/observer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use bbv_core::units::{Micros, SEC};
+use bbv_core::units::{MS, Micros, SEC};
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 
@@ -26,10 +26,18 @@
     seen: Option<Seen>,
 }
 
+/// Runs that began within one window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    first: u64,
+    extra: u64,
+}
+
 /// Facts gathered during a trial.
 #[derive(Debug)]
 pub struct Facts {
     calls: BTreeMap<u64, Ran>,
+    windows: BTreeMap<u64, Window>,
     latency: Histogram<u64>,
     refusal: Histogram<u64>,
     by_entry: BTreeMap<String, Histogram<u64>>,
@@ -65,6 +73,8 @@
     facts: Mutex<Facts>,
 }
 
+const WINDOW: Micros = 100 * MS;
+const WINDOW_RUNS: u64 = 50;
 const LATENCY_MAX: u64 = 600 * SEC;
 
 fn histogram() -> Histogram<u64> {
@@ -76,6 +86,7 @@
         Observer {
             facts: Mutex::new(Facts {
                 calls: BTreeMap::new(),
+                windows: BTreeMap::new(),
                 latency: histogram(),
                 refusal: histogram(),
                 by_entry: BTreeMap::new(),
@@ -98,12 +109,19 @@
 
 impl Observer {
     /// Records that an upstream began to run a call.
-    pub fn ran(&self, call: u64, once: bool) {
+    pub fn ran(&self, now: Micros, call: u64, once: bool) {
         let mut facts = self.facts.lock();
         facts.runs += 1;
         let ran = facts.calls.entry(call).or_default();
         ran.once |= once;
         ran.runs += 1;
+        let first = ran.runs == 1;
+        let window = facts.windows.entry(now / WINDOW).or_default();
+        if first {
+            window.first += 1;
+        } else {
+            window.extra += 1;
+        }
     }
 
     /// Records how the caller saw the call end.
@@ -160,6 +178,13 @@
         self.runs.saturating_sub(ran) as f64 / ran.max(1) as f64
     }
 
+    /// Largest share of further runs among the runs of one window of 100 ms that has at
+    /// least 50 first ones.
+    pub fn extra_peak(&self) -> f64 {
+        let busy = self.windows.values().filter(|window| window.first >= WINDOW_RUNS);
+        busy.map(|window| window.extra as f64 / window.first as f64).fold(0.0, f64::max)
+    }
+
     /// Calls that were answered although they never ran.
     pub fn false_answers(&self) -> u64 {
         let told = |ran: &&Ran| ran.seen == Some(Seen::Answered);
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -73,6 +73,8 @@
     pub control_bytes_per_node_s: f64,
     /// Runs beyond the first of each call, as a share of the calls.
     pub retries_ratio: f64,
+    /// The same share in the worst window of 100 ms.
+    pub retries_peak: f64,
     /// 99th percentile of the time from publication to force in milliseconds.
     pub in_force_p99_ms: u64,
     /// Longest time from publication to force in milliseconds.
@@ -139,6 +141,7 @@
             probe_ratio: probe_msgs as f64 / facts.ended.max(1) as f64,
             control_bytes_per_node_s: control as f64 / seconds / nodes,
             retries_ratio: facts.extra_runs(),
+            retries_peak: facts.extra_peak(),
             in_force_p99_ms: quantile(&delays, 0.99),
             in_force_max_ms: delays.last().copied().unwrap_or(0),
             behind,
--- a/crates/trial/tests/trials.rs
+++ b/crates/trial/tests/trials.rs
@@ -143,8 +143,11 @@
 
 #[test]
 fn brown_out_is_not_made_worse_by_retries() {
-    let report = ours("pararrayos-brown-out", 1);
-    assert!(report.retries_ratio <= 0.1, "{}", report.retries_ratio);
+    for name in ["pararrayos-brown-out", "serimas-brown-out"] {
+        let report = ours(name, 1);
+        assert!(report.retries_ratio <= 0.1, "{name}: {}", report.retries_ratio);
+        assert!(report.retries_peak <= 0.1, "{name}: {}", report.retries_peak);
+    }
 }
 
 #[test]
