--- a/crates/core/src/catalogue/service.rs
+++ b/crates/core/src/catalogue/service.rs
@@ -12,13 +12,13 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Concurrent requests that one warm upstream bears.
+    /// Concurrency limit of one warm upstream.
     pub slots: u64,
-    /// Connections that one upstream bears.
+    /// Connection limit of one upstream.
     pub connections: u64,
-    /// Concurrent requests that one cold upstream bears.
+    /// Concurrency limit of one cold upstream.
     pub cold_slots: u64,
-    /// Time in milliseconds until a cold upstream bears all its slots.
+    /// Time in milliseconds until a cold upstream is warm.
     pub warmup_ms: u64,
     /// Latency of an unloaded upstream in milliseconds.
     pub usual_ms: u64,
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -9,7 +9,7 @@
 use crate::ramp::{Ramp, Warmup};
 use crate::units::Micros;
 
-/// What an upstream bears, from the catalogue.
+/// Limits of an upstream, from the catalogue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Concurrent requests.
@@ -49,7 +49,7 @@
     ratio: f64,
 }
 
-/// The only door to an upstream.
+/// Admission control of one upstream, through which all of its requests pass.
 #[derive(Clone, Debug)]
 pub struct Gate {
     bounds: Bounds,
@@ -183,7 +183,7 @@
         doubt.ratio += (ratio - doubt.ratio) * if doubt.count == 0 { 1.0 } else { DOUBT_GAIN };
         doubt.count += 1;
         // Later in the warm-up a cold upstream is nearly as fast as a warm one, but does
-        // not bear as much.
+        // not sustain as many requests.
         let early = now < self.doubted_at + self.bounds.warmup.time / 2;
         let fast = doubt.count >= DOUBT_ANSWERS && doubt.ratio < RECOVERED_RATIO;
         let recovered = early && fast;
@@ -355,7 +355,7 @@
         oldest > COLD_FACTOR * self.service(now)
     }
 
-    /// Tells whether the upstream bears all its slots.
+    /// Tells whether the warm-up is over.
     pub fn warm(&self, now: Micros) -> bool {
         self.ramp.warm(now)
     }
--- a/crates/core/src/ramp.rs
+++ b/crates/core/src/ramp.rs
@@ -5,9 +5,9 @@
 /// Warm-up plan of an upstream, from the catalogue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Warmup {
-    /// Concurrent requests a cold upstream bears.
+    /// Concurrency limit of a cold upstream.
     pub cold_slots: u32,
-    /// Time after which it bears all its slots.
+    /// Time until all slots may be used.
     pub time: Micros,
 }
 
--- a/crates/core/src/steer.rs
+++ b/crates/core/src/steer.rs
@@ -108,7 +108,7 @@
         &self.targets
     }
 
-    /// Changes what an unloaded upstream is taken to bear.
+    /// Changes the assumed latency and slots of an unloaded upstream.
     pub fn set_usual(&mut self, usual: Micros, slots: u32) {
         self.usual = usual;
         self.slots = slots;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -152,7 +152,7 @@
     Ok(body.clone())
 }
 
-/// Reads a body that is too large to its end, so that its sender hears the refusal.
+/// Reads a body that is too large to its end, so that its sender receives the refusal.
 async fn discard(request: &mut Request) {
     let mut body = request.take_body();
     let mut read = 0;
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -14,7 +14,7 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 
-use crate::door::mark_of;
+use crate::admission::mark_of;
 use crate::node::Node;
 use crate::outcome::{Call, Ending, Outcome};
 use crate::ports::LinkError;
@@ -22,7 +22,7 @@
 const STALE_WAIT: Micros = 5 * MS;
 const AVOID_REFUSING: Micros = 5 * MS;
 
-/// Books of one attempt; writes the ingress row, also when the attempt is dropped.
+/// Bookkeeping of one attempt; writes the ingress row, also when the attempt is dropped.
 struct Sending {
     node: Arc<Node>,
     id: AttemptId,
@@ -158,7 +158,7 @@
         steer.pick(now, tried, &mut state.rng)
     }
 
-    /// Sends one attempt and keeps its books.
+    /// Sends one attempt and records it.
     pub(crate) fn attempt(
         self: &Arc<Self>,
         entry: &Entry,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,9 +4,9 @@
 //! `bbv-node` program puts HTTP and QUIC behind them; tests put fakes behind them and
 //! run the same node in virtual time.
 
+mod admission;
 pub mod audit;
 mod config;
-mod door;
 pub mod front;
 mod ingress;
 pub mod metrics;
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -22,7 +22,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             LinkError::Unsent(reason) => write!(f, "could not send to peer: {reason}"),
-            LinkError::Lost(reason) => write!(f, "could not hear from peer: {reason}"),
+            LinkError::Lost(reason) => write!(f, "no reply from peer: {reason}"),
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,4 +1,4 @@
-//! Mutable state of a node: the decision parts and their books.
+//! Mutable state of a node: the decision parts and their records.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -132,7 +132,7 @@
         loop {
             let id = self.world.next_call();
             let outcome = self.once(&self.request(id, false), None).await;
-            if self.chance(self.stream.deaf) {
+            if self.chance(self.stream.answer_loss) {
                 self.world.timer.sleep(RESEND_AFTER).await;
                 continue;
             }
@@ -162,7 +162,7 @@
         let mut sends = RESENDS;
         while sends > 0 {
             let outcome = self.once(request, ticket).await;
-            if self.chance(self.stream.deaf) {
+            if self.chance(self.stream.answer_loss) {
                 self.world.timer.sleep(RESEND_AFTER).await;
                 continue;
             }
--- a/crates/trial/src/fault.rs
+++ b/crates/trial/src/fault.rs
@@ -45,13 +45,13 @@
     pub span: Micros,
     /// Interval after which it comes again, or zero.
     pub every: Micros,
-    /// First VM that it strikes.
+    /// First VM that it affects.
     pub vm: u32,
-    /// Number of VMs that it strikes.
+    /// Number of VMs that it affects.
     pub count: u32,
     /// Factor of a slow-down or of load.
     pub factor: f64,
-    /// Zones that it strikes.
+    /// Zones that it affects.
     pub zones: Vec<String>,
     /// Entry of a poison request.
     pub entry: Option<String>,
--- a/crates/trial/src/model.rs
+++ b/crates/trial/src/model.rs
@@ -169,7 +169,7 @@
         (now.saturating_sub(since) as f64 / span).min(1.0)
     }
 
-    fn bearable(&self, warmth: f64) -> u32 {
+    fn cold_limit(&self, warmth: f64) -> u32 {
         let (cold, slots) = (self.service.cold_slots as f64, self.service.slots as f64);
         (cold + (slots - cold) * warmth) as u32
     }
@@ -208,7 +208,7 @@
         }
         let warmth = self.warmth(&body, now);
         let overload =
-            warmth < 1.0 && body.running > self.bearable(warmth) && now >= body.judged_from;
+            warmth < 1.0 && body.running > self.cold_limit(warmth) && now >= body.judged_from;
         let late = body.out_since.map_or(0, |since| now.saturating_sub(since));
         drop(body);
         self.observer.note(|facts| {
@@ -226,9 +226,9 @@
         let normal: f64 = standard_normal(&mut body.rng);
         let warmth = self.warmth(&body, now);
         let cold = 1.0 + (COLD_SLOWDOWN - 1.0) * (1.0 - warmth);
-        let bearable = f64::from(self.bearable(warmth).max(1));
-        // An upstream above what it bears gets slower for everyone.
-        let pressed = (f64::from(body.running) / bearable).max(1.0);
+        let cold_limit = f64::from(self.cold_limit(warmth).max(1));
+        // An upstream above its cold limit gets slower for everyone.
+        let pressed = (f64::from(body.running) / cold_limit).max(1.0);
         let pressed = if warmth < 1.0 { pressed * pressed } else { 1.0 };
         let factor = (self.pool.sigma * normal).exp() * cold * pressed;
         let span = (self.pool.median as f64 * factor).max(1.0) as Micros;
--- a/crates/trial/src/observer.rs
+++ b/crates/trial/src/observer.rs
@@ -53,7 +53,7 @@
     pub ended: u64,
     /// Requests on an upstream above its slots, at most.
     pub over_cap: u64,
-    /// Starts on a cold upstream above what it bears.
+    /// Starts on a cold upstream above its cold limit.
     pub cold_overload: u64,
     /// Answers that belong to another call.
     pub crossed: u64,
--- a/crates/trial/src/plan.rs
+++ b/crates/trial/src/plan.rs
@@ -27,8 +27,8 @@
     pub load: f64,
     /// Share of calls that are sent twice at once.
     pub twice: f64,
-    /// Share of answers that the caller does not hear, so that it sends again.
-    pub deaf: f64,
+    /// Share of answers that are lost on the way to the caller, which sends again.
+    pub answer_loss: f64,
 }
 
 /// One trial.
@@ -151,6 +151,6 @@
         entry: item.text("entry"),
         load: item.optional_float("load", 0.0..=100.0).unwrap_or(0.5),
         twice: item.optional_float("twice", 0.0..=1.0).unwrap_or(0.0),
-        deaf: item.optional_float("deaf", 0.0..=1.0).unwrap_or(0.0),
+        answer_loss: item.optional_float("answer_loss", 0.0..=1.0).unwrap_or(0.0),
     }
 }
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -43,7 +43,7 @@
     pub goodput: f64,
     /// Requests on an upstream above its slots, at most.
     pub max_inflight_over_cap: u64,
-    /// Starts on a cold upstream above what it bears.
+    /// Starts on a cold upstream above its cold limit.
     pub cold_overload: u64,
     /// Operations that ran more than once.
     pub double_runs: u64,
@@ -109,7 +109,7 @@
         let delays = in_force_delays(world, members);
         let latest = world.platform.revision();
         let behind = members.iter().filter(|m| m.node.status().revision < latest).count() as u64;
-        let books = reconcile(members, gone);
+        let reconciled = reconcile(members, gone);
         world.observer.read(|facts| Report {
             name: plan.name.clone(),
             policy: policy.to_owned(),
@@ -134,8 +134,8 @@
             cut_requests: facts.cut,
             late_work_after_out_s: facts.late_out as f64 / SEC as f64,
             poison_crashes: facts.poison_crashes.values().copied().max().unwrap_or(0),
-            differing: books.differing.len() as u64,
-            agreed: books.agreed,
+            differing: reconciled.differing.len() as u64,
+            agreed: reconciled.agreed,
             probe_msgs,
             probe_bytes: counted.probe_bytes - before.probe_bytes,
             probe_ratio: probe_msgs as f64 / facts.ended.max(1) as f64,
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -258,7 +258,7 @@
                 let (world, fault) = (Arc::clone(self), fault.clone());
                 tokio::spawn(async move {
                     world.timer.sleep_until(world.plan.lead + at).await;
-                    world.strike(fault).await;
+                    world.inject(fault).await;
                 });
             }
         }
@@ -294,21 +294,21 @@
         }
     }
 
-    fn struck(&self, fault: &Fault) -> Vec<Member> {
+    fn affected(&self, fault: &Fault) -> Vec<Member> {
         let members = self.members.lock();
         let range = fault.vm..fault.vm + fault.count;
         range.filter_map(|vm| members.get(&Vm(vm)).cloned()).collect()
     }
 
-    async fn strike(self: &Arc<Self>, fault: Fault) {
+    async fn inject(self: &Arc<Self>, fault: Fault) {
         let now = self.timer.now();
         let until = now + fault.span;
         match fault.kind {
-            Kind::Cold => self.struck(&fault).iter().for_each(|m| m.model.chill()),
+            Kind::Cold => self.affected(&fault).iter().for_each(|m| m.model.chill()),
             Kind::Cut => self.cut(&fault).await,
-            Kind::FailFast => self.struck(&fault).iter().for_each(|m| m.model.fail_fast(until)),
+            Kind::FailFast => self.affected(&fault).iter().for_each(|m| m.model.fail_fast(until)),
             Kind::Kill => {
-                for member in self.struck(&fault) {
+                for member in self.affected(&fault) {
                     tokio::spawn(Arc::clone(self).kill(member, fault.span));
                 }
             }
@@ -317,18 +317,18 @@
                 self.timer.sleep_until(until).await;
                 *self.load.lock() = 1.0;
             }
-            Kind::Pause => self.struck(&fault).iter().for_each(|m| m.node.timer().freeze(until)),
+            Kind::Pause => self.affected(&fault).iter().for_each(|m| m.node.timer().freeze(until)),
             Kind::PlatformDown => self.platform.down(until),
             Kind::PlatformStale => self.platform.stale(until),
             Kind::Poison => self.poison(&fault).await,
             Kind::Replace | Kind::Stop => {
-                for member in self.struck(&fault) {
+                for member in self.affected(&fault) {
                     tokio::spawn(Arc::clone(self).replace(member));
                 }
             }
             Kind::Slow => {
                 let slow = |m: &Member| m.model.slow(now, fault.span, fault.factor);
-                self.struck(&fault).iter().for_each(slow);
+                self.affected(&fault).iter().for_each(slow);
             }
             Kind::ZoneOut => self.zone_out(&fault).await,
         }
@@ -350,7 +350,7 @@
         let Some(entry) = name.and_then(|name| self.plan.catalogue.entries.get(name)) else {
             return;
         };
-        let stream = Stream { entry: entry.name.clone(), load: 0.0, twice: 0.0, deaf: 0.0 };
+        let stream = Stream { entry: entry.name.clone(), load: 0.0, twice: 0.0, answer_loss: 0.0 };
         Source::new(self, &stream, entry, self.seed ^ 77).poison().await;
     }
 
