--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every part is a plain struct: the time and randomness come in as arguments and
 //! decisions go out as values. Nothing here performs I/O, reads a clock or locks.
 
+pub mod admission;
 pub mod attempt;
 pub mod budget;
 pub mod catalogue;
@@ -13,13 +14,16 @@
 pub mod limit;
 pub mod operation;
 pub mod outcome;
+pub mod place;
 pub mod pool;
 pub mod queue;
 pub mod ramp;
 pub mod rank;
+pub mod route;
 pub mod spread;
 pub mod steer;
 pub mod suspect;
 pub mod tally;
 pub mod ticket;
 pub mod units;
+pub mod view;
--- /dev/null
+++ b/crates/mesh/src/cmd/check.rs
@@ -0,0 +1,11 @@
+//! `bbv-mesh check`: reads settings and names every fault.
+
+use std::process::ExitCode;
+
+use bbv_mesh::settings::Settings;
+
+/// Runs the subcommand.
+pub fn run(args: &[String]) -> ExitCode {
+    let [path] = args else { return super::usage() };
+    super::report(Settings::load(path).map(|settings| println!("{path}: ok, {}", settings.node)))
+}
--- /dev/null
+++ b/crates/mesh/src/gate.rs
@@ -0,0 +1,249 @@
+//! Gate side: the only way to the upstream beside this node.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bbv_core::admission::{self, Offer, Reason, Refused, Step};
+use bbv_core::suspect::Verdict as Suspicion;
+use bbv_core::units::{MS, Micros};
+use bbv_platform::header;
+use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::answer::{self, Verdict};
+use crate::message::{Ask, Ended, Reply};
+use crate::node::Node;
+use crate::pool::{Conn, SendError};
+
+/// Time named to a caller whose request crashed upstreams; it is not tried again before.
+const POISON_RETRY: Micros = 60_000 * MS;
+/// Reserve by which an idle connection is given up before the upstream closes it.
+const IDLE_RESERVE: Duration = Duration::from_millis(1_000);
+
+/// Result of one request at a gate.
+pub(crate) struct Ran {
+    /// What the gate says of it.
+    pub reply: Reply,
+    /// The upstream's answer, if it gave one.
+    pub response: Option<Response<Full<Bytes>>>,
+}
+
+/// Place of one request at the gate; gives it back when dropped.
+struct Place {
+    node: Arc<Node>,
+    id: u64,
+    finished: bool,
+}
+
+impl Place {
+    /// Gives the place back after an answer.
+    fn finish(mut self) {
+        self.finished = true;
+        let now = self.node.now();
+        self.node.lock().admission.finish(now, self.id);
+        self.node.pump();
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        {
+            let mut state = self.node.lock();
+            state.waiters.remove(&self.id);
+            state.admission.cancel(self.id);
+        }
+        self.node.pump();
+    }
+}
+
+/// How the exchange with the upstream ended.
+enum Exchange {
+    Answered(Response<Full<Bytes>>, Place),
+    Rejected,
+    Lost(&'static str, String),
+}
+
+impl Node {
+    /// Runs a request of the ingress at `from` if it may run here.
+    pub(crate) async fn run_here(
+        self: &Arc<Self>,
+        from: IpAddr,
+        ask: Ask,
+        head: Parts,
+        body: Bytes,
+    ) -> Ran {
+        let arrived = self.now();
+        self.lock().recent.insert(from, arrived);
+        let id = head.headers.get(header::ATTEMPT).cloned();
+        let (ended, retry, response, work) = match self.enter(&ask, arrived).await {
+            Err((ended, retry)) => (ended, retry, None, 0),
+            Ok(place) => {
+                let started = self.now();
+                self.metrics.waited.observe((started - arrived) as f64 / 1e6);
+                let deadline = arrived + ask.left;
+                let exchange = self.exchange(&ask, head, body, deadline, place);
+                match self.timer.limit(deadline, exchange).await {
+                    None => (Ended::Lost, 0, None, 0),
+                    Some(Exchange::Rejected) => (Ended::Rejected, 0, None, 0),
+                    Some(Exchange::Lost(what, why)) => {
+                        log::warn!("event=upstream-lost id={id:?} what={what:?} why={why:?}");
+                        (Ended::Lost, 0, None, 0)
+                    }
+                    Some(Exchange::Answered(response, place)) => {
+                        let took = self.now() - started;
+                        let speed = u64::from(self.lock().admission.speed_pct());
+                        place.finish();
+                        (Ended::Answered, 0, Some(response), took * 100 / speed)
+                    }
+                }
+            }
+        };
+        self.metrics.admitted.with_label_values(&[ended.name()]).inc();
+        if ended != Ended::Answered {
+            log::info!("event=gate-ended id={id:?} ended={} left_us={}", ended.name(), ask.left);
+        }
+        let now = self.now();
+        let state = self.lock();
+        let held = now - arrived;
+        let (report, revision) = (state.report(now), state.view.through);
+        Ran { reply: Reply { ended, retry, work, held, report, revision }, response }
+    }
+
+    /// Waits for a place on the upstream.
+    async fn enter(self: &Arc<Self>, ask: &Ask, arrived: Micros) -> Result<Place, (Ended, Micros)> {
+        let refused = |refused: Refused| Err((Ended::Refused(refused.reason), refused.retry));
+        let closed = Refused { reason: Reason::Closed, retry: 100 * MS };
+        let (place, wake) = {
+            let mut state = self.lock();
+            if state.suspects.verdict(arrived, ask.print) == Suspicion::Poison {
+                return Err((Ended::Poison, POISON_RETRY));
+            }
+            let other = state.own.instance.as_ref().is_some_and(|own| **own != *ask.instance);
+            let listed = state.view.upstreams.get(ask.instance.as_str());
+            if other || listed.is_some_and(|up| up.draining) {
+                return refused(closed);
+            }
+            let id = self.next_id();
+            let offer = admission::Ask {
+                id,
+                rank: ask.rank,
+                deadline: arrived + ask.left,
+                target: arrived + ask.target,
+                work: ask.work,
+            };
+            let decision = state.admission.offer(arrived, offer);
+            let place = || Place { node: Arc::clone(self), id, finished: false };
+            match decision {
+                Offer::Run => return Ok(place()),
+                Offer::Refuse(why) => return refused(why),
+                Offer::Wait => {
+                    let (sender, wake) = oneshot::channel();
+                    state.waiters.insert(id, sender);
+                    (place(), wake)
+                }
+            }
+        };
+        match self.timer.limit(arrived + ask.left, wake).await {
+            Some(Ok(Step::Run(_))) => Ok(place),
+            Some(Ok(Step::Refuse(_, why))) => refused(why),
+            Some(Err(_)) | None => refused(Refused { reason: Reason::Late, retry: 0 }),
+        }
+    }
+
+    async fn exchange(
+        self: &Arc<Self>,
+        ask: &Ask,
+        mut head: Parts,
+        body: Bytes,
+        deadline: Micros,
+        place: Place,
+    ) -> Exchange {
+        let method = head.method.clone();
+        let attempt = head.headers.get(header::ATTEMPT).cloned();
+        let left = Duration::from_micros(deadline.saturating_sub(self.now()));
+        header::prepare(&mut head.headers, left, Some(&ask.instance));
+        let request = Request::from_parts(head, Full::new(body));
+        let sent = self.upstream_pool.send(self.settings.upstream, request).await;
+        let (response, conn) = match sent {
+            Ok(sent) => sent,
+            Err(SendError::Unsent(why)) => {
+                log::info!("event=upstream-unreachable why={why:?}");
+                return Exchange::Rejected;
+            }
+            Err(error) => {
+                self.suspect_crash(ask);
+                return Exchange::Lost("no answer", error.to_string());
+            }
+        };
+        let (head, body) = response.into_parts();
+        self.learn_load(&head.headers);
+        let verdict = answer::judge(head.status, &head.headers, attempt.as_ref());
+        if let Verdict::Foreign(why) = verdict {
+            return Exchange::Lost("foreign answer", why.to_owned());
+        }
+        let body = match self.collect(&head, body, conn).await {
+            Ok(body) => body,
+            Err(error) => return Exchange::Lost("answer broke off", error.to_string()),
+        };
+        if verdict == Verdict::NotRun {
+            return Exchange::Rejected;
+        }
+        Exchange::Answered(answer::pass_on(&method, head, body), place)
+    }
+
+    /// Reads a whole body and keeps the connection for the next request.
+    async fn collect(
+        &self,
+        head: &http::response::Parts,
+        body: Incoming,
+        conn: Conn,
+    ) -> Result<Bytes, hyper::Error> {
+        let body = body.collect().await?.to_bytes();
+        let limit = answer::idle_limit(&head.headers);
+        self.upstream_pool.put(conn, limit.map(|limit| limit.saturating_sub(IDLE_RESERVE)));
+        Ok(body)
+    }
+
+    /// Learns the load that the upstream reports with an answer.
+    pub(crate) fn learn_load(&self, headers: &http::HeaderMap) {
+        let Some(load) = header::load(headers) else { return };
+        let now = self.now();
+        let mut state = self.lock();
+        state.own.reported = now;
+        state.admission.report(load.running, load.speed_pct);
+    }
+
+    /// Answers an ingress.
+    pub(crate) async fn serve_peer(
+        self: &Arc<Self>,
+        from: IpAddr,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        let (mut head, body) = request.into_parts();
+        let Some(ask) = Ask::take(&mut head.headers) else { return self.serve_view(&head) };
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                log::info!("event=peer-request-broken from={from} error={error:?}");
+                return answer::own(StatusCode::BAD_REQUEST, "broken");
+            }
+        };
+        head.headers.remove(CONTENT_LENGTH);
+        answer::strip_connection(&mut head.headers);
+        let ran = self.run_here(from, ask, head, body).await;
+        let mut response = ran.response.unwrap_or_else(|| {
+            answer::own(StatusCode::SERVICE_UNAVAILABLE, ran.reply.ended.name())
+        });
+        ran.reply.write(response.headers_mut());
+        response
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/main.rs
@@ -0,0 +1,15 @@
+//! `bbv-mesh`: the process beside each upstream of a mesh.
+
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args.split_first() {
+        Some((name, rest)) if name == "run" => cmd::run::run(rest),
+        Some((name, rest)) if name == "check" => cmd::check::run(rest),
+        Some((name, _)) if name == "--help" || name == "-h" => cmd::help(),
+        _ => cmd::usage(),
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/probe.rs
@@ -0,0 +1,124 @@
+//! Health checks of the upstream beside this node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bbv_core::suspect::Crash;
+use bbv_core::units::{MS, Micros};
+use bbv_platform::header;
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full};
+
+use crate::message::Ask;
+use crate::node::Node;
+use crate::notice::vm_of;
+use crate::pool::SendError;
+
+/// Interval of checks; what the upstream says of its speed changes many times a second.
+const INTERVAL: Micros = 60 * MS;
+/// Age up to which a report that came with an answer spares a check.
+const FRESH: Micros = 40 * MS;
+/// Longest time between two checks, since only a check tells whether the upstream is cold.
+const INTERVAL_MAX: Micros = 200 * MS;
+/// Time in which a check is answered.
+const ANSWER: Micros = 400 * MS;
+/// Time in which an upstream that crashed refuses connections.
+const CRASH_CHECK: Duration = Duration::from_millis(100);
+
+impl Node {
+    /// Checks the upstream for as long as the process runs.
+    pub(crate) async fn probe(self: Arc<Self>) {
+        let mut ticks = self.timer.every(INTERVAL);
+        let mut checked: Micros = 0;
+        loop {
+            let now = ticks.next().await.now;
+            let fresh = now < self.lock().own.reported + FRESH;
+            if fresh && now < checked + INTERVAL_MAX {
+                continue;
+            }
+            checked = now;
+            self.check().await;
+        }
+    }
+
+    async fn check(&self) {
+        let path = {
+            let state = self.lock();
+            let routing = state.view.routing.as_ref();
+            let limits = routing.and_then(|routing| routing.services.get(self.settings.service.as_str()));
+            limits.map(|limits| limits.health.clone())
+        };
+        let Some(path) = path else { return };
+        let host = self.settings.upstream.to_string();
+        let request = Request::get(path).header(HOST, host).body(Full::new(Bytes::new()));
+        let Ok(request) = request else { return };
+        self.metrics.probes.inc();
+        let sent = self.upstream_pool.send(self.settings.upstream, request);
+        let limit = self.now() + ANSWER;
+        match self.timer.limit(limit, sent).await {
+            Some(Ok((response, conn))) => {
+                let (head, body) = response.into_parts();
+                let whole = self.timer.limit(limit, body.collect()).await;
+                if matches!(whole, Some(Ok(_))) {
+                    self.upstream_pool.put(conn, None);
+                }
+                self.learn_health(&head.headers);
+            }
+            Some(Err(SendError::Unsent(why))) => self.learn_down(&why),
+            Some(Err(SendError::Lost(why))) => log::info!("event=probe-lost why={why:?}"),
+            None => log::info!("event=probe-late"),
+        }
+    }
+
+    fn learn_health(&self, headers: &HeaderMap) {
+        self.learn_load(headers);
+        let now = self.now();
+        let mut state = self.lock();
+        let instance = header::instance(headers);
+        if instance.is_some() && instance != state.own.instance.as_deref() {
+            log::info!("event=upstream-instance was={:?} is={instance:?}", state.own.instance);
+            state.own.instance = instance.map(Into::into);
+        }
+        let cold = header::cold(headers).map_or(0, |left| left.as_micros() as Micros);
+        state.admission.set_cold(if cold > 0 { now + cold } else { 0 });
+        if state.own.down {
+            log::info!("event=upstream-up instance={instance:?}");
+        }
+        state.set_down(&self.settings, false);
+    }
+
+    fn learn_down(&self, why: &str) {
+        let mut state = self.lock();
+        if !state.own.down {
+            log::warn!("event=upstream-down why={why:?}");
+        }
+        state.set_down(&self.settings, true);
+    }
+
+    /// Finds out whether the upstream crashed when a request lost its connection.
+    pub(crate) fn suspect_crash(self: &Arc<Self>, ask: &Ask) {
+        let print = ask.print;
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            let upstream = node.settings.upstream;
+            let connect = tokio::net::TcpStream::connect(upstream);
+            let refused = match tokio::time::timeout(CRASH_CHECK, connect).await {
+                Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+                _ => false,
+            };
+            if !refused {
+                return;
+            }
+            node.learn_down("connection refused after a request was lost");
+            let crash = Crash { print, vm: vm_of(upstream.ip()) };
+            let now = node.now();
+            let new = node.lock().suspects.report(now, crash);
+            log::warn!("event=upstream-crashed print={print:016x} new={new}");
+            if let (true, Some(socket)) = (new, node.socket.get()) {
+                node.tell_crash(socket, crash);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/server.rs
@@ -0,0 +1,177 @@
+//! Listeners of a node, and its planned stop.
+
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bbv_core::units::{MS, Micros};
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+
+use crate::answer;
+use crate::node::Node;
+use crate::pool;
+use crate::settings::Settings;
+
+/// Time for which a caller's connection may be idle.
+const IDLE: Duration = Duration::from_secs(16);
+/// Time from SIGTERM until connections are closed: two missed readiness checks and a reserve.
+const UNREADY: Micros = 2_600 * MS;
+/// Time that is kept back from the grace period for the end of the process.
+const STOP_RESERVE: Micros = 300 * MS;
+/// Interval at which a stopping node looks for requests that are still open.
+const STOP_POLL: Micros = 20 * MS;
+/// Pause after an accept that failed, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Listener of a node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Door {
+    Callers,
+    Peers,
+    Operators,
+}
+
+/// A node that runs.
+pub struct Running {
+    /// The node.
+    pub node: Arc<Node>,
+    closing: watch::Sender<bool>,
+}
+
+/// Starts a node on the listeners of its settings.
+pub async fn start(settings: Settings) -> Result<Running> {
+    let node = Node::new(settings);
+    let settings = &node.settings;
+    let (closing, closed) = watch::channel(false);
+    let doors = [
+        (Door::Operators, settings.readiness),
+        (Door::Peers, settings.peers),
+        (Door::Callers, settings.callers),
+    ];
+    for (door, addr) in doors {
+        let listener = TcpListener::bind(addr).await;
+        let listener = listener.wrap_err_with(|| format!("could not listen on {addr}"))?;
+        tokio::spawn(accept(Arc::clone(&node), door, listener, closed.clone()));
+    }
+    let notices = settings.notices;
+    let socket = UdpSocket::bind(notices).await;
+    let socket = Arc::new(socket.wrap_err_with(|| format!("could not bind {notices}"))?);
+    let _ = node.socket.set(Arc::clone(&socket));
+    tokio::spawn(Arc::clone(&node).follow());
+    tokio::spawn(Arc::clone(&node).probe());
+    tokio::spawn(Arc::clone(&node).send_notices(Arc::clone(&socket)));
+    tokio::spawn(Arc::clone(&node).receive_notices(socket));
+    log::info!("event=started node={} zone={} service={}", settings.node, settings.zone, settings.service);
+    Ok(Running { node, closing })
+}
+
+impl Running {
+    /// Stops the node: unready first, then no new connections, then the open requests.
+    pub async fn stop(self) {
+        let node = &self.node;
+        let begun = node.now();
+        let last = begun + node.settings.grace.saturating_sub(STOP_RESERVE);
+        log::info!("event=stopping open={}", node.open.load(Ordering::Relaxed));
+        node.stop();
+        node.timer.sleep_until(last.min(begun + UNREADY)).await;
+        // Receivers are gone only when every listener has ended.
+        let _ = self.closing.send(true);
+        while node.open.load(Ordering::Relaxed) > 0 && node.now() < last {
+            node.timer.sleep(STOP_POLL).await;
+        }
+        log::info!("event=stopped open={}", node.open.load(Ordering::Relaxed));
+    }
+}
+
+async fn accept(
+    node: Arc<Node>,
+    door: Door,
+    listener: TcpListener,
+    mut closed: watch::Receiver<bool>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = until_closed(&mut closed), if door == Door::Callers => return,
+        };
+        match accepted {
+            Ok((stream, from)) => {
+                tokio::spawn(serve(Arc::clone(&node), door, stream, from, closed.clone()));
+            }
+            Err(error) => {
+                log::warn!("event=accept-failed door={door:?} error={error:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn until_closed(closed: &mut watch::Receiver<bool>) {
+    // An error means that the node itself is gone, which closes as well.
+    let _ = closed.wait_for(|closed| *closed).await;
+}
+
+async fn serve(
+    node: Arc<Node>,
+    door: Door,
+    stream: TcpStream,
+    from: SocketAddr,
+    mut closed: watch::Receiver<bool>,
+) {
+    if let Err(error) = pool::tune(&stream) {
+        log::debug!("event=connection-untuned from={from} error={error:?}");
+    }
+    let ip = from.ip();
+    let service = service_fn(move |request| {
+        let node = Arc::clone(&node);
+        async move { Ok::<_, Infallible>(answer(&node, door, ip, request).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = until_closed(&mut closed), if door == Door::Callers => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=connection-ended from={from} error={error:?}");
+    }
+}
+
+async fn answer(
+    node: &Arc<Node>,
+    door: Door,
+    from: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match door {
+        Door::Callers => node.serve_caller(request).await,
+        Door::Peers => node.serve_peer(from, request).await,
+        Door::Operators => operators(node, request.uri().path()),
+    }
+}
+
+fn operators(node: &Node, path: &str) -> Response<Full<Bytes>> {
+    match path {
+        bbv_platform::READINESS if node.ready() => answer::own(StatusCode::OK, "ready"),
+        bbv_platform::READINESS => answer::own(StatusCode::SERVICE_UNAVAILABLE, "unready"),
+        "/metrics" => Response::new(Full::new(Bytes::from(node.metrics.render()))),
+        _ => answer::own(StatusCode::NOT_FOUND, "no-such-page"),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,7 @@
 mod status;
 mod stop;
 mod tasks;
-pub mod timer;
+pub use bbv_timer as timer;
 pub mod upstream;
 
 pub use node::Node;
--- a/crates/node/src/timer.rs
+++ b/crates/timer/src/lib.rs
@@ -37,7 +37,7 @@
     ///
     /// ```
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
-    /// assert!(bbv_node::timer::Timer::real().now() < 1_000_000);
+    /// assert!(bbv_timer::Timer::real().now() < 1_000_000);
     /// # });
     /// # Ok::<(), std::io::Error>(())
     /// ```
@@ -52,7 +52,7 @@
     ///
     /// ```
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
-    /// let timer = bbv_node::timer::Timer::scaled(std::time::Duration::from_millis(1));
+    /// let timer = bbv_timer::Timer::scaled(std::time::Duration::from_millis(1));
     /// assert_eq!(timer.now(), 0);
     /// # });
     /// # Ok::<(), std::io::Error>(())
@@ -66,7 +66,7 @@
     ///
     /// ```
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
-    /// let timer = bbv_node::timer::Timer::real();
+    /// let timer = bbv_timer::Timer::real();
     /// timer.fork().freeze(u64::MAX);
     /// assert!(!timer.is_frozen());
     /// # });
@@ -127,7 +127,7 @@
     ///
     /// ```
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
-    /// let mut ticks = bbv_node::timer::Timer::real().every(10);
+    /// let mut ticks = bbv_timer::Timer::real().every(10);
     /// assert!(ticks.next().await.now >= 10);
     /// # });
     /// # Ok::<(), std::io::Error>(())
