--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -18,7 +18,7 @@
 
 use crate::answer::{self, Verdict};
 use crate::message::{Ask, Ended, Reply};
-use crate::node::Node;
+use crate::node::{Node, Open};
 use crate::pool::{Conn, SendError};
 
 /// Time named to a caller whose request crashed upstreams; it is not tried again before.
@@ -129,7 +129,7 @@
             }
             let other = state.own.instance.as_ref().is_some_and(|own| **own != *ask.instance);
             let listed = state.view.upstreams.get(ask.instance.as_str());
-            if other || listed.is_some_and(|up| up.draining) {
+            if self.closing() || other || listed.is_some_and(|up| up.draining) {
                 return refused(closed);
             }
             let id = self.next_id();
@@ -228,6 +228,7 @@
         from: IpAddr,
         request: Request<Incoming>,
     ) -> Response<Full<Bytes>> {
+        let _open = Open::new(self);
         let (mut head, body) = request.into_parts();
         let Some(ask) = Ask::take(&mut head.headers) else { return self.serve_view(&head) };
         let body = match body.collect().await {
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bbv_core::admission::Reason;
 use bbv_core::route::{Name, Route, Routing};
@@ -21,7 +20,7 @@
 use crate::answer;
 use crate::gate::Ran;
 use crate::message::{Ask, Ended, Reply};
-use crate::node::{Node, SILENT, State, Usual};
+use crate::node::{Node, Open, SILENT, State, Usual};
 use crate::pool::SendError;
 
 /// Time that is left where a caller names no deadline.
@@ -62,15 +61,6 @@
     body: Bytes,
 }
 
-/// Counts a request as open until it ends or its caller goes away.
-struct Open(Arc<Node>);
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Gives back what one send holds, also when its caller goes away.
 struct Sent {
     node: Arc<Node>,
@@ -122,8 +112,7 @@
         request: Request<Incoming>,
     ) -> Response<Full<Bytes>> {
         let arrived = self.now();
-        self.open.fetch_add(1, Ordering::Relaxed);
-        let _open = Open(Arc::clone(self));
+        let _open = Open::new(self);
         let id = request.headers().get(header::ATTEMPT).cloned();
         let mut outcome = match self.accept(request, arrived).await {
             Ok(call) => self.send(call).await,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -99,9 +99,27 @@
     pub(crate) socket: OnceLock<Arc<UdpSocket>>,
     next: AtomicU64,
     stopping: AtomicBool,
+    closing: AtomicBool,
     state: Mutex<State>,
 }
 
+/// Counts a request of a caller or of another node as open until it ends or its sender
+/// goes away.
+pub(crate) struct Open(Arc<Node>);
+
+impl Open {
+    pub fn new(node: &Arc<Node>) -> Self {
+        node.open.fetch_add(1, Ordering::Relaxed);
+        Open(Arc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Node {
     /// Creates a node; [`crate::start`] runs it.
     pub(crate) fn new(settings: Settings) -> Arc<Self> {
@@ -133,6 +151,7 @@
             socket: OnceLock::new(),
             next: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             state: Mutex::new(state),
         })
     }
@@ -159,6 +178,16 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the node takes no further work and only finishes what it has.
+    pub(crate) fn closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Refuses further work.
+    pub(crate) fn close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
     /// Whether callers may send requests.
     pub fn ready(&self) -> bool {
         !self.stopping() && self.lock().view.routing.is_some()
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -85,6 +85,7 @@
         log::info!("event=stopping open={}", node.open.load(Ordering::Relaxed));
         node.stop();
         node.timer.sleep_until(last.min(begun + UNREADY)).await;
+        node.close();
         // Receivers are gone only when every listener has ended.
         let _ = self.closing.send(true);
         while node.open.load(Ordering::Relaxed) > 0 && node.now() < last {
