Choose upstreams by the speed of the moment, and spend fewer bytes between zones

Change: notices to other zones only once a second or when a gate closes or stops; a KB between zones counts as 0.2 of a request; the gate looks at the speed just before a long request starts and sends it elsewhere, or holds it, while a short slow spell lasts.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -33,6 +33,8 @@
     Full,
     /// The upstream is cold and bears no further request now.
     Cold,
+    /// The upstream is slow for a moment; the request ends sooner elsewhere or later.
+    Slow,
     /// The upstream is leaving, out of service or unknown.
     Closed,
 }
@@ -48,6 +50,7 @@
             Reason::Late => "late",
             Reason::Full => "full",
             Reason::Cold => "cold",
+            Reason::Slow => "slow",
             Reason::Closed => "closed",
         }
     }
@@ -427,7 +430,8 @@
     /// assert_eq!(bbv_core::admission::Admission::new(9).due(5), None);
     /// ```
     pub fn due(&mut self, now: Micros) -> Option<Micros> {
-        let deadline = self.queue.iter().map(|ask| ask.deadline - self.run_time(ask).min(ask.deadline));
+        let deadline =
+            self.queue.iter().map(|ask| ask.deadline - self.run_time(ask).min(ask.deadline));
         let deadline = deadline.min()?;
         let cold = self.cold_wait(now);
         let cold = if cold > 0 { now + cold } else { Micros::MAX };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ramp;
 pub mod rank;
 pub mod route;
+pub mod spell;
 pub mod spread;
 pub mod steer;
 pub mod suspect;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -13,6 +13,9 @@
     pub limit: u32,
     /// Time that work takes now, in percent of usual.
     pub speed_pct: u32,
+    /// Expected time until the upstream is as fast as usual; zero if it is, or if that
+    /// cannot be told.
+    pub spell: Micros,
     /// Time until a new request would start.
     pub backlog: Micros,
     /// Whether new requests are refused.
@@ -167,7 +170,11 @@
         let unseen = self.sent.iter().filter(|(_, at)| *at > since).count();
         let load = (known + unseen) as f64;
         let limit = f64::from(limit);
-        let work = work.max(MS) as f64 * speed * self.slowness(now);
+        let usual = work.max(MS) as f64;
+        let spell = report.map_or(0, |report| report.spell) as f64;
+        // A gate starts a long request only when the slow spell is over.
+        let run = if spell > 0.0 { (usual * speed).min(usual + spell) } else { usual * speed };
+        let work = run * self.slowness(now);
         let over = (load + 1.0 - limit).max(0.0);
         let waiting = work * over / limit;
         let crowding = work * USE_WEIGHT * (load / limit).min(1.0);
--- a/crates/mesh/src/answer.rs
+++ b/crates/mesh/src/answer.rs
@@ -22,7 +22,11 @@
 }
 
 /// Judges an answer's head against the request's attempt id.
-pub(crate) fn judge(status: StatusCode, headers: &HeaderMap, attempt: Option<&HeaderValue>) -> Verdict {
+pub(crate) fn judge(
+    status: StatusCode,
+    headers: &HeaderMap,
+    attempt: Option<&HeaderValue>,
+) -> Verdict {
     let echoed = headers.get(header::ATTEMPT);
     if echoed.is_some() && attempt.is_some() && echoed != attempt {
         return Verdict::Foreign("attempt id of another request");
@@ -54,8 +58,7 @@
     for name in named {
         headers.remove(name);
     }
-    let fixed =
-        [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    let fixed = [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
     for name in fixed {
         headers.remove(name);
     }
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -18,6 +18,8 @@
 
 /// Longest time that one watch waits.
 const WATCH: Duration = Duration::from_secs(25);
+/// Pause after an answer in which further changes gather.
+const GATHER: Micros = 300 * MS;
 /// Pauses after a call to the store that failed.
 const BACKOFF_MIN: Micros = 100 * MS;
 const BACKOFF_MAX: Micros = 1_000 * MS;
@@ -47,8 +49,14 @@
                         self.lock().view.platform_returned(now);
                     }
                     backoff = BACKOFF_MIN;
-                    if listed { self.take_changes(after, changes) } else { self.take_all(changes) }
+                    if listed {
+                        self.take_changes(after, changes)
+                    } else {
+                        self.take_all(changes)
+                    }
                     listed = true;
+                    // Changes come in groups; one call brings those of a moment.
+                    self.timer.sleep(GATHER).await;
                 }
                 Err(StoreError::HistoryGone) => {
                     log::info!("event=store-history-gone revision={after}");
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -26,6 +26,15 @@
 /// Reserve by which an idle connection is given up before the upstream closes it.
 const IDLE_RESERVE: Duration = Duration::from_millis(1_000);
 
+/// Work from which it pays to look at the upstream's speed before a request starts.
+const LONG_WORK: Micros = 25 * MS;
+/// Age up to which a report of the upstream's speed is good enough for that.
+const FRESH: Micros = 12 * MS;
+/// Interval at which the speed is looked at while a request waits for it.
+const HOLD_STEP: Micros = 20 * MS;
+/// Longest time for which a request waits for the speed.
+const HOLD_MAX: Micros = 3_000 * MS;
+
 /// Result of one request at a gate.
 pub(crate) struct Ran {
     /// What the gate says of it.
@@ -86,26 +95,29 @@
         let id = head.headers.get(header::ATTEMPT).cloned();
         let (ended, retry, response, work) = match self.enter(&ask, arrived).await {
             Err((ended, retry)) => (ended, retry, None, 0),
-            Ok(place) => {
-                let started = self.now();
-                self.metrics.waited.observe((started - arrived) as f64 / 1e6);
-                let deadline = arrived + ask.left;
-                let exchange = self.exchange(&ask, head, body, deadline, place);
-                match self.timer.limit(deadline, exchange).await {
-                    None => (Ended::Lost, 0, None, 0),
-                    Some(Exchange::Rejected) => (Ended::Rejected, 0, None, 0),
-                    Some(Exchange::Lost(what, why)) => {
-                        log::warn!("event=upstream-lost id={id:?} what={what:?} why={why:?}");
-                        (Ended::Lost, 0, None, 0)
-                    }
-                    Some(Exchange::Answered(response, place)) => {
-                        let took = self.now() - started;
-                        let speed = u64::from(self.lock().admission.speed_pct());
-                        place.finish();
-                        (Ended::Answered, 0, Some(response), took * 100 / speed)
+            Ok(place) => match self.fast_enough(&ask, arrived).await {
+                Some(retry) => (Ended::Refused(Reason::Slow), retry, None, 0),
+                None => {
+                    let started = self.now();
+                    let speed = u64::from(self.lock().admission.speed_pct());
+                    self.metrics.waited.observe((started - arrived) as f64 / 1e6);
+                    let deadline = arrived + ask.left;
+                    let exchange = self.exchange(&ask, head, body, deadline, place);
+                    match self.timer.limit(deadline, exchange).await {
+                        None => (Ended::Lost, 0, None, 0),
+                        Some(Exchange::Rejected) => (Ended::Rejected, 0, None, 0),
+                        Some(Exchange::Lost(what, why)) => {
+                            log::warn!("event=upstream-lost id={id:?} what={what:?} why={why:?}");
+                            (Ended::Lost, 0, None, 0)
+                        }
+                        Some(Exchange::Answered(response, place)) => {
+                            let took = self.now() - started;
+                            place.finish();
+                            (Ended::Answered, 0, Some(response), took * 100 / speed)
+                        }
                     }
                 }
-            }
+            },
         };
         self.metrics.admitted.with_label_values(&[ended.name()]).inc();
         if ended != Ended::Answered {
@@ -159,6 +171,35 @@
         }
     }
 
+    /// Waits until a long request may start on an upstream whose speed changes; returns
+    /// the time until then instead if the request may go elsewhere.
+    async fn fast_enough(&self, ask: &Ask, arrived: Micros) -> Option<Micros> {
+        if ask.work < LONG_WORK {
+            return None;
+        }
+        let latest = (arrived + ask.left).min(self.now() + HOLD_MAX);
+        loop {
+            if self.now() > self.lock().own.reported + FRESH {
+                self.check().await;
+            }
+            let now = self.now();
+            let remaining = {
+                let state = self.lock();
+                let waits = state.own.spells.worth_waiting(now, ask.work);
+                waits.then(|| state.own.spells.remaining(now)).flatten()?
+            };
+            if !ask.firm {
+                return Some(remaining);
+            }
+            let late =
+                now + HOLD_STEP + ask.work * u64::from(self.lock().admission.speed_pct()) / 100;
+            if late > latest {
+                return None;
+            }
+            self.timer.sleep(HOLD_STEP).await;
+        }
+    }
+
     async fn exchange(
         self: &Arc<Self>,
         ask: &Ask,
@@ -219,6 +260,7 @@
         let now = self.now();
         let mut state = self.lock();
         state.own.reported = now;
+        state.own.spells.observe(now, load.speed_pct);
         state.admission.report(load.running, load.speed_pct);
     }
 
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -20,7 +20,7 @@
 use crate::answer;
 use crate::gate::Ran;
 use crate::message::{Ask, Ended, Reply};
-use crate::node::{Node, Open, SILENT, State, Usual};
+use crate::node::{Node, Open, SILENT, SILENT_FAR, State, Usual};
 use crate::pool::SendError;
 
 /// Time that is left where a caller names no deadline.
@@ -42,7 +42,7 @@
 const LINK_UNKNOWN: Micros = 10 * MS;
 const LINK_GAIN: u64 = 8;
 /// Loss that a kilobyte between zones is worth, as a share of a request.
-const ZONE_KB_COST: f64 = 0.012;
+const ZONE_KB_COST: f64 = 0.2;
 /// Spread of choices between upstreams that are nearly equal, so that ingresses do not
 /// all send to one.
 const JITTER: f64 = 0.03;
@@ -122,7 +122,10 @@
         self.metrics.call(outcome.ended, took);
         let status = outcome.response.status().as_u16();
         if outcome.ended != "answered" || status >= 500 {
-            log::info!("event=call id={id:?} ended={} status={status} took_us={took}", outcome.ended);
+            log::info!(
+                "event=call id={id:?} ended={} status={status} took_us={took}",
+                outcome.ended
+            );
         }
         let headers = outcome.response.headers_mut();
         if let (Some(id), false) = (id, headers.contains_key(header::ATTEMPT)) {
@@ -182,10 +185,13 @@
         while refusals < REFUSALS_MAX {
             let Some((instance, gate)) = self.pick(&call, &tried) else { break };
             tried.push(instance.clone());
-            match self.try_gate(&call, &instance, gate).await {
+            match self.try_gate(&call, &instance, gate, refusals > 0).await {
                 Tried::Late => return Outcome::own(StatusCode::GATEWAY_TIMEOUT, "late"),
                 Tried::Unsent(why) => {
-                    log::info!("event=gate-unreachable gate={gate} id={:?} why={why:?}", call.attempt);
+                    log::info!(
+                        "event=gate-unreachable gate={gate} id={:?} why={why:?}",
+                        call.attempt
+                    );
                     refusals += 1;
                 }
                 Tried::Lost(why) => {
@@ -225,6 +231,11 @@
                             break;
                         }
                     }
+                    Ended::Refused(Reason::Slow) => {
+                        refusals += 1;
+                        // Its report says how slow it is; it may still be the best choice.
+                        tried.pop();
+                    }
                     Ended::Refused(reason) => {
                         refusals += 1;
                         if reason != Reason::Closed {
@@ -260,14 +271,22 @@
             let peer = state.peers.get(&up.addr.ip()).copied().unwrap_or_default();
             let same_zone = *up.zone == *self.settings.zone;
             let unknown = if same_zone { MS } else { LINK_UNKNOWN };
-            let link = if mine { 0 } else if peer.link > 0 { peer.link } else { unknown };
+            let link = if mine {
+                0
+            } else if peer.link > 0 {
+                peer.link
+            } else {
+                unknown
+            };
             let known = state.targets.get(id);
-            let cost = known.cloned().unwrap_or_default().cost(now, usual.work as u64, up.slots, link);
+            let cost =
+                known.cloned().unwrap_or_default().cost(now, usual.work as u64, up.slots, link);
             let mut loss = loss(cost as f64, target);
             if !same_zone {
                 loss += ZONE_KB_COST * usual.bytes / 1_024.0;
             }
-            let silent = !mine && peer.heard + SILENT < now && peer.asked > peer.heard;
+            let silence = if same_zone { SILENT } else { SILENT_FAR };
+            let silent = !mine && peer.heard + silence < now && peer.asked > peer.heard;
             let closed = known.is_some_and(|target| target.closed(now));
             let avoided = known.is_some_and(|target| target.avoided(now));
             if closed || avoided || (!mine && peer.stopping) || silent {
@@ -286,6 +305,7 @@
         call: &Call,
         instance: &Name,
         upstream: std::net::SocketAddr,
+        firm: bool,
     ) -> Tried {
         let now = self.now();
         let id = self.next_id();
@@ -309,6 +329,7 @@
                 rank: call.route.rank,
                 work,
                 idempotent: call.route.idempotent,
+                firm,
                 print: call.print,
             }
         };
@@ -317,7 +338,9 @@
         let future = async {
             if mine {
                 let from = self.settings.peers.ip();
-                return Tried::Ran(self.run_here(from, ask, call.head.clone(), call.body.clone()).await);
+                return Tried::Ran(
+                    self.run_here(from, ask, call.head.clone(), call.body.clone()).await,
+                );
             }
             self.ask_peer(gate, &ask, call).await
         };
@@ -376,6 +399,7 @@
                 target.judge(now, good, reply.work as f64 / expected.max(1) as f64);
             }
             Ended::Lost | Ended::Rejected => target.judge(now, false, 1.0),
+            Ended::Refused(Reason::Slow) => {}
             Ended::Refused(_) | Ended::Poison => {
                 target.avoid(now + reply.retry.min(AVOID_REFUSING));
             }
@@ -383,8 +407,14 @@
         let peer = state.peers.entry(ip).or_default();
         peer.heard = now;
         let link = (now - sent).saturating_sub(reply.held);
-        peer.link = if peer.link == 0 { link } else { peer.link - peer.link / LINK_GAIN + link / LINK_GAIN };
-        if let (Ended::Answered, Tried::Ran(Ran { response: Some(response), .. })) = (reply.ended, tried) {
+        peer.link = if peer.link == 0 {
+            link
+        } else {
+            peer.link - peer.link / LINK_GAIN + link / LINK_GAIN
+        };
+        if let (Ended::Answered, Tried::Ran(Ran { response: Some(response), .. })) =
+            (reply.ended, tried)
+        {
             let bytes = response.body().size_hint().lower() as f64;
             let held = usual(state, &call.route);
             let work = held.work + (reply.work as f64 - held.work) * USUAL_GAIN;
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -28,6 +28,8 @@
     pub work: Micros,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether it is to be run here even if the upstream is slow.
+    pub firm: bool,
     /// Fingerprint of method, path and body.
     pub print: u64,
 }
@@ -64,7 +66,8 @@
     pub revision: Revision,
 }
 
-const REASONS: [Reason; 4] = [Reason::Late, Reason::Full, Reason::Cold, Reason::Closed];
+const REASONS: [Reason; 5] =
+    [Reason::Late, Reason::Full, Reason::Cold, Reason::Slow, Reason::Closed];
 
 impl Ended {
     /// Name for messages, logs and metrics.
@@ -115,13 +118,14 @@
 impl Ask {
     /// Writes it into a request.
     pub fn write(&self, headers: &mut HeaderMap) {
-        let idempotent = u8::from(self.idempotent);
+        let (idempotent, firm) = (u8::from(self.idempotent), u8::from(self.firm));
         let value = join(&[
             &self.left,
             &self.target,
             &self.rank,
             &self.work,
             &idempotent,
+            &firm,
             &self.print,
             &self.instance,
         ]);
@@ -143,6 +147,7 @@
             rank: values.next()?,
             work: values.next()?,
             idempotent: values.flag()?,
+            firm: values.flag()?,
             print: values.next()?,
             instance: values.next()?,
         })
@@ -163,6 +168,7 @@
             &report.queued,
             &report.limit,
             &report.speed_pct,
+            &report.spell,
             &report.backlog,
             &closed,
             &cold,
@@ -191,6 +197,7 @@
                 queued: values.next()?,
                 limit: values.next()?,
                 speed_pct: values.next()?,
+                spell: values.next()?,
                 backlog: values.next()?,
                 closed: values.flag()?,
                 cold: values.flag()?,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -10,6 +10,7 @@
 use bbv_core::budget::Share;
 use bbv_core::place::{Report, Target};
 use bbv_core::route::{Name, Splitter};
+use bbv_core::spell::Spells;
 use bbv_core::suspect::Suspects;
 use bbv_core::units::{MS, Micros, SEC};
 use bbv_core::view::{Applied, View};
@@ -69,6 +70,8 @@
     pub down: bool,
     /// Time of its newest report of its load.
     pub reported: Micros,
+    /// Spells in which it is slow.
+    pub spells: Spells,
 }
 
 pub(crate) struct State {
@@ -206,7 +209,10 @@
         let mut state = self.lock();
         let through = state.view.through;
         for change in applied {
-            log::info!("event=view-changed source={source} revision={through} {}", describe(change));
+            log::info!(
+                "event=view-changed source={source} revision={through} {}",
+                describe(change)
+            );
         }
         state.settle(&self.settings);
         drop(state);
@@ -258,6 +264,11 @@
         })
     }
 
+    /// Whether the VM at `ip` is known to be in `zone`.
+    pub fn same_zone(&self, ip: IpAddr, zone: &str) -> bool {
+        self.view.upstreams.values().any(|up| up.addr.ip() == ip && &*up.zone == zone)
+    }
+
     /// Upstream beside this node, as published.
     pub fn own_entry(&self, settings: &Settings) -> Option<(&Name, &bbv_core::view::Upstream)> {
         let here = |upstream: &&bbv_core::view::Upstream| upstream.addr == settings.upstream;
@@ -269,12 +280,14 @@
 
     /// Applies the view to admission and forgets upstreams that are gone.
     fn settle(&mut self, settings: &Settings) {
-        let entry = self.own_entry(settings).map(|(_, up)| (up.slots, up.draining, up.zone.clone()));
+        let entry =
+            self.own_entry(settings).map(|(_, up)| (up.slots, up.draining, up.zone.clone()));
         let service = settings.service.as_str();
         let limits = self.view.routing.as_ref().and_then(|routing| routing.services.get(service));
         let cold_rate = limits.map_or(f64::INFINITY, |limits| limits.cold_rate);
         let out = self.view.out.contains(settings.zone.as_str());
-        let (slots, draining) = entry.map_or((SLOTS_UNKNOWN, false), |(slots, drain, _)| (slots, drain));
+        let (slots, draining) =
+            entry.map_or((SLOTS_UNKNOWN, false), |(slots, drain, _)| (slots, drain));
         self.admission.set_limits(slots, cold_rate);
         self.admission.close(draining || out || self.own.down);
         let upstreams = &self.view.upstreams;
@@ -294,6 +307,7 @@
             queued: self.admission.queued(),
             limit: self.admission.limit(now),
             speed_pct: self.admission.speed_pct(),
+            spell: self.own.spells.remaining(now).unwrap_or(0),
             backlog: self.admission.backlog(now),
             closed: self.admission.closed(),
             cold: self.admission.cold(now),
@@ -303,8 +317,10 @@
 
 /// Time for which the sender of a request gets notices.
 pub(crate) const RECENT: Micros = 2 * SEC;
-/// Silence after which a node that was asked something is taken to be unreachable.
+/// Silence after which a node that was asked something is taken to be unreachable: three
+/// notices that did not come, in the same zone and in another one.
 pub(crate) const SILENT: Micros = 700 * MS;
+pub(crate) const SILENT_FAR: Micros = 3_000 * MS;
 
 fn describe(change: &Applied) -> String {
     match change {
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -17,8 +17,11 @@
 const TICK: Micros = 10 * MS;
 /// Longest time between two notices to a node that sent requests.
 const HEARTBEAT: Micros = 200 * MS;
+/// Longest time between two notices to a node of another zone that sent requests; the way
+/// there costs more, and what changes many times a second is over when it arrives.
+const FAR_HEARTBEAT: Micros = 1_000 * MS;
 /// Interval of notices to a random node, which spread revisions.
-const GOSSIP: Micros = 500 * MS;
+const GOSSIP: Micros = 1_000 * MS;
 /// Largest notice; a larger one is not sent by any node.
 const NOTICE_MAX: usize = 1_400;
 
@@ -33,6 +36,7 @@
     queued: u32,
     limit: u32,
     speed_pct: u32,
+    spell: Micros,
     backlog: Micros,
     closed: bool,
     cold: bool,
@@ -46,6 +50,7 @@
             queued: notice.queued,
             limit: notice.limit,
             speed_pct: notice.speed_pct,
+            spell: notice.spell,
             backlog: notice.backlog,
             closed: notice.closed,
             cold: notice.cold,
@@ -53,6 +58,30 @@
     }
 }
 
+/// Change of speed, in percent, that is worth a notice.
+const SPEED_STEP: u32 = 20;
+
+/// What a notice tells that cannot wait: step of the speed, closed, cold, crowded, stopping.
+type Urgent = (u32, bool, bool, bool, bool);
+
+/// When the next notice is due.
+#[derive(Default)]
+struct Due {
+    told: Option<Urgent>,
+    at: Micros,
+}
+
+impl Due {
+    fn due(&mut self, now: Micros, urgent: Urgent, period: Micros) -> bool {
+        if self.told == Some(urgent) && now < self.at + period {
+            return false;
+        }
+        self.told = Some(urgent);
+        self.at = now;
+        true
+    }
+}
+
 /// Number of a VM among the fleet, from its address.
 pub(crate) fn vm_of(ip: IpAddr) -> Vm {
     match ip {
@@ -76,6 +105,7 @@
             queued: report.queued,
             limit: report.limit,
             speed_pct: report.speed_pct,
+            spell: report.spell,
             backlog: report.backlog,
             closed: report.closed,
             cold: report.cold,
@@ -86,21 +116,22 @@
     /// Sends notices for as long as the process runs.
     pub(crate) async fn send_notices(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut ticks = self.timer.every(TICK);
-        let mut last = (0, false, false, false, false);
-        let mut sent: Micros = 0;
+        let mut near = Due::default();
+        let mut far = Due::default();
         let mut gossiped: Micros = 0;
         loop {
             let now = ticks.next().await.now;
             self.pump();
             self.expire(now);
             let report = self.lock().report(now);
-            let full = report.backlog > 0;
-            let key = (report.speed_pct / 20, report.closed, report.cold, full, self.stopping());
-            if key != last || now >= sent + HEARTBEAT {
-                last = key;
-                sent = now;
-                let recent = self.recent(now);
-                self.send_to(&socket, &recent, None);
+            let crowded = report.backlog > 0;
+            let (closed, stopping) = (report.closed, self.stopping());
+            let key = (report.speed_pct / SPEED_STEP, closed, report.cold, crowded, stopping);
+            if near.due(now, key, HEARTBEAT) {
+                self.send_to(&socket, &self.recent(now, true), None);
+            }
+            if far.due(now, (0, closed, false, false, stopping), FAR_HEARTBEAT) {
+                self.send_to(&socket, &self.recent(now, false), None);
             }
             if now >= gossiped + GOSSIP {
                 gossiped = now;
@@ -116,11 +147,14 @@
         self.viewed("lapse", &applied);
     }
 
-    fn recent(&self, now: Micros) -> Vec<IpAddr> {
+    /// Nodes that sent requests lately, in this zone or in others.
+    fn recent(&self, now: Micros, near: bool) -> Vec<IpAddr> {
         let mut state = self.lock();
         state.recent.retain(|_, at| now < *at + RECENT);
         let own = self.settings.peers.ip();
-        state.recent.keys().copied().filter(|ip| *ip != own).collect()
+        let zone = self.settings.zone.as_str();
+        let wanted = |ip: &IpAddr| *ip != own && state.same_zone(*ip, zone) == near;
+        state.recent.keys().copied().filter(wanted).collect()
     }
 
     fn random_peer(&self) -> Option<IpAddr> {
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -43,11 +43,13 @@
         }
     }
 
-    async fn check(&self) {
+    /// Checks the upstream once.
+    pub(crate) async fn check(&self) {
         let path = {
             let state = self.lock();
             let routing = state.view.routing.as_ref();
-            let limits = routing.and_then(|routing| routing.services.get(self.settings.service.as_str()));
+            let limits =
+                routing.and_then(|routing| routing.services.get(self.settings.service.as_str()));
             limits.map(|limits| limits.health.clone())
         };
         let Some(path) = path else { return };
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -72,7 +72,12 @@
     tokio::spawn(Arc::clone(&node).probe());
     tokio::spawn(Arc::clone(&node).send_notices(Arc::clone(&socket)));
     tokio::spawn(Arc::clone(&node).receive_notices(socket));
-    log::info!("event=started node={} zone={} service={}", settings.node, settings.zone, settings.service);
+    log::info!(
+        "event=started node={} zone={} service={}",
+        settings.node,
+        settings.zone,
+        settings.service
+    );
     Ok(Running { node, closing })
 }
 
