End an outage when a call is served, and refuse at the gate for an upstream that is gone

Change: after a failed call the next one does not wait; a gate whose upstream was listed and is no longer refuses. A request that its upstream has not answered at the deadline ends with 504.

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -39,7 +39,9 @@
         let mut away = false;
         loop {
             let after = self.lock().view.through;
-            let result = if listed { store.watch(after, WATCH).await } else { store.list().await };
+            // After an outage a call that does not wait tells at once that it is over.
+            let wait = if away { Duration::ZERO } else { WATCH };
+            let result = if listed { store.watch(after, wait).await } else { store.list().await };
             self.count(&result);
             match result {
                 Ok(changes) => {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -104,7 +104,7 @@
                     let deadline = arrived + ask.left;
                     let exchange = self.exchange(&ask, head, body, deadline, place);
                     match self.timer.limit(deadline, exchange).await {
-                        None => (Ended::Lost, 0, None, 0),
+                        None => (Ended::Expired, 0, None, 0),
                         Some(Exchange::Rejected) => (Ended::Rejected, 0, None, 0),
                         Some(Exchange::Lost(what, why)) => {
                             log::warn!("event=upstream-lost id={id:?} what={what:?} why={why:?}");
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -220,6 +220,7 @@
                             break;
                         }
                     }
+                    Ended::Expired => return Outcome::own(StatusCode::GATEWAY_TIMEOUT, "expired"),
                     Ended::Poison => {
                         let outcome = Outcome::refused("poison", ran.reply.retry);
                         return last.unwrap_or(outcome);
@@ -398,7 +399,7 @@
                     .is_some_and(|response| !response.status().is_server_error()));
                 target.judge(now, good, reply.work as f64 / expected.max(1) as f64);
             }
-            Ended::Lost | Ended::Rejected => target.judge(now, false, 1.0),
+            Ended::Lost | Ended::Expired | Ended::Rejected => target.judge(now, false, 1.0),
             Ended::Refused(Reason::Slow) => {}
             Ended::Refused(_) | Ended::Poison => {
                 target.avoid(now + reply.retry.min(AVOID_REFUSING));
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -47,6 +47,8 @@
     Poison,
     /// It was sent to the upstream and may have run.
     Lost,
+    /// It was sent to the upstream, which had not answered at the deadline.
+    Expired,
 }
 
 /// What a gate says with its answer.
@@ -78,6 +80,7 @@
             Ended::Refused(reason) => reason.name(),
             Ended::Poison => "poison",
             Ended::Lost => "lost",
+            Ended::Expired => "expired",
         }
     }
 
@@ -87,6 +90,7 @@
             "rejected" => Some(Ended::Rejected),
             "poison" => Some(Ended::Poison),
             "lost" => Some(Ended::Lost),
+            "expired" => Some(Ended::Expired),
             _ => REASONS.into_iter().find(|reason| reason.name() == name).map(Ended::Refused),
         }
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -35,7 +35,7 @@
 const SLOTS_UNKNOWN: u32 = 4;
 /// Share of the fleet's budget of retries that the nodes use, since requests whose run was
 /// itself a retry call again.
-const BUDGET_USE: f64 = 0.5;
+const BUDGET_USE: f64 = 0.75;
 
 /// What is known of another node.
 #[derive(Clone, Copy, Debug, Default)]
@@ -66,6 +66,8 @@
 pub(crate) struct Own {
     /// Its instance, as it names itself.
     pub instance: Option<Name>,
+    /// Whether this instance was listed.
+    pub listed: bool,
     /// Whether it refuses connections.
     pub down: bool,
     /// Time of its newest report of its load.
@@ -176,6 +178,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Revision up to which the node knows the fleet.
+    pub fn revision(&self) -> bbv_core::units::Revision {
+        self.lock().view.through
+    }
+
     /// Makes the node unready, so that callers and other nodes go elsewhere.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
@@ -280,16 +287,17 @@
 
     /// Applies the view to admission and forgets upstreams that are gone.
     fn settle(&mut self, settings: &Settings) {
-        let entry =
-            self.own_entry(settings).map(|(_, up)| (up.slots, up.draining, up.zone.clone()));
+        let entry = self.own_entry(settings).map(|(_, up)| (up.slots, up.draining));
         let service = settings.service.as_str();
         let limits = self.view.routing.as_ref().and_then(|routing| routing.services.get(service));
         let cold_rate = limits.map_or(f64::INFINITY, |limits| limits.cold_rate);
         let out = self.view.out.contains(settings.zone.as_str());
         let (slots, draining) =
-            entry.map_or((SLOTS_UNKNOWN, false), |(slots, drain, _)| (slots, drain));
+            entry.as_ref().map_or((SLOTS_UNKNOWN, false), |(slots, draining)| (*slots, *draining));
         self.admission.set_limits(slots, cold_rate);
-        self.admission.close(draining || out || self.own.down);
+        let gone = entry.is_none() && self.own.listed;
+        self.own.listed |= entry.is_some();
+        self.admission.close(draining || gone || out || self.own.down);
         let upstreams = &self.view.upstreams;
         self.targets.retain(|id, _| upstreams.contains_key(id));
     }
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -82,6 +82,7 @@
         if instance.is_some() && instance != state.own.instance.as_deref() {
             log::info!("event=upstream-instance was={:?} is={instance:?}", state.own.instance);
             state.own.instance = instance.map(Into::into);
+            state.own.listed = false;
         }
         let cold = header::cold(headers).map_or(0, |left| left.as_micros() as Micros);
         state.admission.set_cold(if cold > 0 { now + cold } else { 0 });
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -49,6 +49,27 @@
     root.parsed(key, addr).unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
 
+impl Default for Settings {
+    /// Settings with every default, on no address.
+    fn default() -> Self {
+        let none = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            node: String::new(),
+            zone: String::new(),
+            service: String::new(),
+            upstream: none,
+            callers: none,
+            peers: none,
+            readiness: none,
+            notices: none,
+            platform: none,
+            grace: (GRACE_S * SEC as f64) as Micros,
+            retry_share: RETRY_SHARE,
+            retry_burst: RETRY_BURST,
+        }
+    }
+}
+
 impl Settings {
     /// Reads settings and names every fault with its line.
     ///
--- /dev/null
+++ b/crates/mesh/tests/support/fleet.rs
@@ -0,0 +1,152 @@
+//! A fleet of real nodes, each with its upstream, on addresses of the loopback range.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bbv_mesh::Running;
+use bbv_mesh::settings::Settings;
+use serde_json::{Value, json};
+
+use super::client::{self, Answer};
+use super::store::{Listener, Store};
+use super::upstream::Upstream;
+
+const CALLERS: u16 = 21_001;
+const PEERS: u16 = 21_002;
+const READINESS: u16 = 21_003;
+const NOTICES: u16 = 21_004;
+const UPSTREAM: u16 = 21_005;
+
+/// Second and third byte of the next fleet's addresses: the process and the fleet in it.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+pub struct Member {
+    pub ip: IpAddr,
+    pub settings: Settings,
+    pub door: Listener,
+    pub upstream: Arc<Upstream>,
+    pub running: Option<Running>,
+}
+
+pub struct Fleet {
+    pub store: Arc<Store>,
+    pub members: Vec<Member>,
+}
+
+/// A route for tests: `/get/` is idempotent, `/post/` is not.
+pub fn route(name: &str, kind: &str, service: &str, timeout_s: f64) -> Value {
+    json!({"resource_type": "routes", "metadata": {"name": name}, "spec": {
+        "host": "a.example", "prefix": format!("/{name}/"), "route_kind": kind,
+        "timeout_s": timeout_s, "target_latency_s": 0.5, "priority": 1, "service": service,
+        "max_attempts": 2}})
+}
+
+pub fn service(name: &str, cold_per_s: f64) -> Value {
+    json!({"resource_type": "services", "metadata": {"name": name}, "spec": {
+        "health_path": "/health", "max_conns": 220, "cold_start_s": 3.0, "cold_per_s": cold_per_s}})
+}
+
+pub fn config(version: u64, timeout_s: f64) -> Value {
+    json!({"version": version, "resources": [
+        route("get", "idempotent", "s", timeout_s),
+        route("post", "non_idempotent", "s", timeout_s),
+        service("s", 35.0),
+        {"resource_type": "limits", "metadata": {}, "spec": {"max_header_bytes": 16384,
+            "max_body_bytes": 65536, "header_timeout_s": 3, "idle_timeout_s": 15}}]})
+}
+
+impl Fleet {
+    /// Starts one node and upstream for each zone named; nothing is published yet.
+    pub async fn bare(zones: &[&str]) -> Self {
+        let fleet = NEXT.fetch_add(1, Ordering::Relaxed);
+        let process = (std::process::id() % 200) as u8 + 20;
+        let store = Arc::new(Store::default());
+        let mut members = Vec::new();
+        for (at, zone) in zones.iter().enumerate() {
+            let ip = IpAddr::V4(Ipv4Addr::new(127, process, fleet, at as u8 + 1));
+            let on = |port| SocketAddr::new(ip, port);
+            let door = store.listen().await;
+            let settings = Settings {
+                node: format!("n{at}"),
+                zone: (*zone).to_owned(),
+                service: "s".to_owned(),
+                upstream: on(UPSTREAM),
+                callers: on(CALLERS),
+                peers: on(PEERS),
+                readiness: on(READINESS),
+                notices: on(NOTICES),
+                platform: door.addr,
+                retry_share: 1.0,
+                retry_burst: 100.0,
+                ..Settings::default()
+            };
+            let upstream = Upstream::start(&format!("i-{at}"), settings.upstream).await;
+            let running = bbv_mesh::start(settings.clone()).await.expect("the node starts");
+            members.push(Member { ip, settings, door, upstream, running: Some(running) });
+        }
+        Fleet { store, members }
+    }
+
+    /// Starts a fleet, publishes it, and waits until all nodes know all of it.
+    pub async fn start(zones: &[&str]) -> Self {
+        let fleet = Fleet::bare(zones).await;
+        fleet.store.put("op/config", &config(1, 5.0));
+        for at in 0..zones.len() {
+            fleet.list(at, "ready");
+        }
+        fleet.settle().await;
+        fleet
+    }
+
+    /// Publishes the upstream of member `at`.
+    pub fn list(&self, at: usize, state: &str) {
+        let member = &self.members[at];
+        let entry = json!({"address": member.upstream.addr,
+            "info": {"service": "s", "version": "v1", "zone": member.settings.zone, "slots": 9},
+            "status": {"state": state, "sequence": 4, "cold_left_s": 0}});
+        self.store.put(&format!("servers/i-{at}"), &entry);
+    }
+
+    /// Waits until every running node knows the newest revision.
+    pub async fn settle(&self) {
+        let newest = self.store.revision();
+        for member in &self.members {
+            let Some(running) = &member.running else { continue };
+            until("a node knows the newest revision", || running.node.revision() >= newest).await;
+        }
+    }
+
+    pub fn callers(&self, at: usize) -> SocketAddr {
+        self.members[at].settings.callers
+    }
+
+    pub async fn get(&self, at: usize, path: &str, id: &str) -> Answer {
+        client::send(self.callers(at), &client::request("GET", path, id, 3_000, "")).await
+    }
+
+    pub async fn post(&self, at: usize, path: &str, id: &str) -> Answer {
+        client::send(self.callers(at), &client::request("POST", path, id, 3_000, "body")).await
+    }
+
+    pub async fn ready(&self, at: usize) -> u16 {
+        let text = "GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
+        client::send(self.members[at].settings.readiness, text).await.status
+    }
+
+    pub fn runs(&self) -> usize {
+        self.members.iter().map(|member| member.upstream.runs()).sum()
+    }
+}
+
+/// Waits until `done`, for ten seconds at most.
+pub async fn until(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("not within ten seconds: {what}");
+}
--- /dev/null
+++ b/crates/mesh/tests/support/store.rs
@@ -0,0 +1,189 @@
+//! Stand-in of the platform's store: listing and watching over HTTP.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct Data {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+    events: Vec<(u64, Value)>,
+    forgotten: u64,
+}
+
+/// Store that all listeners share.
+#[derive(Default)]
+pub struct Store {
+    data: Mutex<Data>,
+    changed: Notify,
+    pub calls: AtomicU64,
+}
+
+/// One listener, which may refuse while others serve.
+pub struct Listener {
+    pub addr: SocketAddr,
+    pub refuse: Arc<AtomicBool>,
+}
+
+impl Store {
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        let mut data = self.data.lock();
+        data.revision += 1;
+        let revision = data.revision;
+        let value = STANDARD.encode(value);
+        let event =
+            json!({"key": key, "value": value, "revision": revision, "created": 1, "lease": 0});
+        data.items.insert(key.to_owned(), (value, revision));
+        data.events.push((revision, event));
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.data.lock().revision
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut data = self.data.lock();
+        data.revision += 1;
+        let revision = data.revision;
+        data.items.remove(key);
+        data.events.push((revision, json!({"key": key, "revision": revision, "deleted": true})));
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history.
+    pub fn forget(&self) {
+        let mut data = self.data.lock();
+        data.forgotten = data.revision;
+        data.events.clear();
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Listens on a new port.
+    pub async fn listen(self: &Arc<Self>) -> Listener {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound port");
+        let refuse = Arc::new(AtomicBool::new(false));
+        let (store, refusing) = (Arc::clone(self), Arc::clone(&refuse));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (store, refuse) = (Arc::clone(&store), Arc::clone(&refusing));
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        let (store, refuse) = (Arc::clone(&store), Arc::clone(&refuse));
+                        async move { Ok::<_, Infallible>(store.answer(&refuse, &request).await) }
+                    });
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+        Listener { addr, refuse }
+    }
+
+    async fn answer(
+        &self,
+        refuse: &AtomicBool,
+        request: &Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let query: BTreeMap<&str, &str> = request
+            .uri()
+            .query()
+            .unwrap_or("")
+            .split('&')
+            .filter_map(|p| p.split_once('='))
+            .collect();
+        let busy = || reply(StatusCode::SERVICE_UNAVAILABLE, &json!({"error": "busy"}));
+        if refuse.load(Ordering::Relaxed) {
+            return busy();
+        }
+        let prefix = query.get("prefix").copied().unwrap_or("");
+        if request.uri().path() == "/-/kv-range" {
+            return reply(StatusCode::OK, &self.range(prefix, query.get("after").copied()));
+        }
+        let after: u64 = query["after"].parse().expect("a revision");
+        let wait = Duration::from_millis(query["wait_ms"].parse().expect("milliseconds"));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if refuse.load(Ordering::Relaxed) {
+                return busy();
+            }
+            if let Some((status, body)) = self.events(prefix, after) {
+                return reply(status, &body);
+            }
+            let tick = Duration::from_millis(50).min(until - tokio::time::Instant::now());
+            let _ = tokio::time::timeout(tick, changed).await;
+            if tokio::time::Instant::now() >= until {
+                let as_of = self.data.lock().revision;
+                return reply(StatusCode::OK, &json!({"events": [], "as_of": as_of}));
+            }
+        }
+    }
+
+    fn range(&self, prefix: &str, after: Option<&str>) -> Value {
+        const PAGE: usize = 4;
+        let data = self.data.lock();
+        let wanted = data.items.iter().filter(|(key, _)| {
+            key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
+        });
+        let items: Vec<Value> = wanted
+            .map(|(key, (value, revision))| {
+                json!({"key": key, "value": value, "revision": revision, "created": 1, "lease": 0})
+            })
+            .collect();
+        let more = items.len() > PAGE;
+        let page: Vec<Value> = items.into_iter().take(PAGE).collect();
+        json!({"items": page, "has_more": more, "as_of": data.revision})
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> Option<(StatusCode, Value)> {
+        let data = self.data.lock();
+        if after < data.forgotten {
+            return Some((StatusCode::GONE, json!({"error": "history"})));
+        }
+        let fits = |event: &Value| event["key"].as_str().is_some_and(|key| key.starts_with(prefix));
+        let events: Vec<Value> = data
+            .events
+            .iter()
+            .filter(|(revision, event)| *revision > after && fits(event))
+            .map(|(_, event)| event.clone())
+            .collect();
+        let body = json!({"events": events, "as_of": data.revision});
+        (!events.is_empty()).then_some((StatusCode::OK, body))
+    }
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
