Keep two readers of the store a zone, which the others learn from

Change: a node reads while it hears of fewer than two better readers of its zone; changes pass between nodes with their revisions, and with the time for which lapsed entries are kept.

--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -26,8 +26,17 @@
     pub born: Option<u64>,
 }
 
-/// One published change.
-#[derive(Clone, Debug, PartialEq)]
+/// One published change with its revision.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Change {
+    /// Revision that it made.
+    pub revision: Revision,
+    /// What changed.
+    pub update: Update,
+}
+
+/// What changed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Update {
     /// Routing; none if it could not be read.
     Routing(Option<Arc<Routing>>),
@@ -87,6 +96,26 @@
         self.keep_until = now + REGISTER_TIME;
     }
 
+    /// Time for which upstreams whose entries expired in an outage are still kept.
+    ///
+    /// ```
+    /// assert_eq!(bbv_core::view::View::default().keep_left(0), 0);
+    /// ```
+    pub fn keep_left(&self, now: Micros) -> Micros {
+        self.keep_until.saturating_sub(now)
+    }
+
+    /// Keeps upstreams whose entries expire for `left`, as another node does.
+    ///
+    /// ```
+    /// let mut view = bbv_core::view::View::default();
+    /// view.keep_for(3, 4);
+    /// assert_eq!(view.keep_left(5), 2);
+    /// ```
+    pub fn keep_for(&mut self, now: Micros, left: Micros) {
+        self.keep_until = self.keep_until.max(now + left.min(REGISTER_TIME));
+    }
+
     /// Applies one change.
     ///
     /// ```
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -4,14 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bbv_core::units::{MS, Micros};
-use bbv_core::view::{Applied, View};
+use bbv_core::units::{MS, Micros, Revision};
+use bbv_core::view::{Applied, Change, View};
 use bbv_platform::store::{Changes, Store, StoreError};
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::answer;
 use crate::node::Node;
@@ -27,17 +28,49 @@
 const OWN_NEWS: Micros = 100 * MS;
 /// Time in which a peer answers.
 const PULL: Micros = 500 * MS;
-/// Path at which nodes ask each other for what they know.
-const VIEW: &str = "/bbv/view";
+/// Interval at which a node that does not read looks whether it should.
+const DECIDE: Micros = 100 * MS;
+/// Path at which nodes ask each other for what changed after a revision.
+const NEWS: &str = "/bbv/news";
+
+/// Changes that follow the revision asked about.
+#[derive(Debug, Deserialize, Serialize)]
+struct News {
+    through: Revision,
+    changes: Vec<Change>,
+}
+
+/// What a node tells one that is behind.
+#[derive(Debug, Deserialize, Serialize)]
+struct Told {
+    /// Time for which upstreams whose entries expired in an outage are kept.
+    keep: Micros,
+    what: What,
+}
+
+/// The part of it that differs.
+#[derive(Debug, Deserialize, Serialize)]
+enum What {
+    /// What changed.
+    News(News),
+    /// Everything, since the changes are no longer known.
+    All(View),
+}
 
 impl Node {
-    /// Follows the store for as long as the process runs.
+    /// Follows the store for as long as the process runs: lists it once, and watches it
+    /// while this node is a reader of its zone.
     pub(crate) async fn follow(self: Arc<Self>) {
         let mut store = Store::new(self.settings.platform);
         let mut backoff = BACKOFF_MIN;
         let mut listed = false;
         let mut away = false;
         loop {
+            let now = self.now();
+            if listed && !self.lock().readers.decide(now) {
+                self.timer.sleep(DECIDE).await;
+                continue;
+            }
             let after = self.lock().view.through;
             // After an outage a call that does not wait tells at once that it is over.
             let wait = if away { Duration::ZERO } else { WATCH };
@@ -51,6 +84,7 @@
                         self.lock().view.platform_returned(now);
                     }
                     backoff = BACKOFF_MIN;
+                    self.lock().store_away = false;
                     if listed {
                         self.take_changes(after, changes)
                     } else {
@@ -69,6 +103,7 @@
                         log::warn!("event=store-lost error={:?}", error.to_string());
                     }
                     away = true;
+                    self.lock().store_away = true;
                     let jitter = self.lock().rng.random_range(0..=backoff);
                     self.timer.sleep(backoff / 2 + jitter).await;
                     backoff = (backoff * 2).min(BACKOFF_MAX);
@@ -96,39 +131,49 @@
                 // Another node already told more than this listing.
                 return;
             }
-            state.view.replace(now, all.through, all.updates)
+            state.history.restart(all.through);
+            let updates = all.changes.into_iter().map(|change| change.update).collect();
+            state.view.replace(now, all.through, updates)
         };
         self.viewed("store", &applied);
     }
 
-    fn take_changes(&self, after: u64, changes: Changes) {
+    fn take_changes(&self, after: Revision, changes: Changes) {
+        self.take_news(
+            "store",
+            after,
+            &News { through: changes.through, changes: changes.changes },
+        );
+    }
+
+    /// Applies changes that follow revision `after`, unless more was learned meanwhile.
+    fn take_news(&self, source: &str, after: Revision, news: &News) {
         let now = self.now();
         let applied: Vec<Applied> = {
             let mut state = self.lock();
+            let state = &mut *state;
             if state.view.through != after {
-                // A peer told more meanwhile; the next watch continues from there.
                 return;
             }
-            state.view.through = changes.through.max(after);
-            let applied = changes.updates.into_iter().map(|update| state.view.apply(now, update));
+            state.view.through = news.through.max(after);
+            state.history.extend(&news.changes);
+            let updates = news.changes.iter().map(|change| change.update.clone());
+            let applied = updates.map(|update| state.view.apply(now, update));
             applied.filter(|applied| *applied != Applied::Same).collect()
         };
-        self.viewed("store", &applied);
+        self.viewed(source, &applied);
     }
 
     /// Asks a peer that knows more.
     pub(crate) async fn pull(self: Arc<Self>, from: IpAddr) {
-        let before = self.lock().view.through;
-        self.timer.sleep(OWN_NEWS).await;
-        let through = self.lock().view.through;
-        if through == before {
+        let before = self.revision();
+        if self.reads() {
+            self.timer.sleep(OWN_NEWS).await;
+        }
+        if self.revision() == before {
             let limit = self.now() + PULL;
-            match self.timer.limit(limit, self.pull_view(from)).await {
-                Some(Ok(view)) => {
-                    let now = self.now();
-                    let applied = self.lock().view.adopt(now, view);
-                    self.viewed("peer", &applied);
-                }
+            match self.timer.limit(limit, self.ask_news(from, before)).await {
+                Some(Ok(told)) => self.take_told(before, told),
                 Some(Err(why)) => log::info!("event=pull-failed from={from} why={why:?}"),
                 None => log::info!("event=pull-late from={from}"),
             }
@@ -136,9 +181,28 @@
         self.lock().pulling = false;
     }
 
-    async fn pull_view(&self, from: IpAddr) -> Result<View, String> {
+    fn take_told(&self, before: Revision, told: Told) {
+        let now = self.now();
+        self.lock().view.keep_for(now, told.keep);
+        match told.what {
+            What::News(news) => self.take_news("peer", before, &news),
+            What::All(view) => {
+                let applied = {
+                    let mut state = self.lock();
+                    let applied = state.view.adopt(now, view);
+                    let through = state.view.through;
+                    state.history.restart(through);
+                    applied
+                };
+                self.viewed("peer", &applied);
+            }
+        }
+    }
+
+    async fn ask_news(&self, from: IpAddr, since: Revision) -> Result<Told, String> {
         let gate = SocketAddr::new(from, self.settings.peers.port());
-        let request = Request::get(VIEW).header(http::header::HOST, gate.to_string());
+        let request = Request::get(format!("{NEWS}?since={since}"));
+        let request = request.header(http::header::HOST, gate.to_string());
         let request = request.body(Full::new(Bytes::new())).map_err(|error| error.to_string())?;
         let sent = self.peer_pool.send(gate, request).await;
         let (response, conn) = sent.map_err(|error| error.to_string())?;
@@ -148,15 +212,26 @@
     }
 
     /// Answers a peer that asks what this node knows.
-    pub(crate) fn serve_view(&self, head: &Parts) -> Response<Full<Bytes>> {
-        if head.uri.path() != VIEW {
+    pub(crate) fn serve_news(&self, head: &Parts) -> Response<Full<Bytes>> {
+        let since = head.uri.query().and_then(|query| query.strip_prefix("since="));
+        let since = since.and_then(|text| text.parse::<Revision>().ok());
+        let (NEWS, Some(since)) = (head.uri.path(), since) else {
             return answer::own(StatusCode::NOT_FOUND, "not-a-peer-request");
-        }
-        match serde_json::to_vec(&self.lock().view) {
+        };
+        let told = {
+            let now = self.now();
+            let state = self.lock();
+            let what = match state.history.since(since) {
+                Some(changes) => What::News(News { through: state.view.through, changes }),
+                None => What::All(state.view.clone()),
+            };
+            Told { keep: state.view.keep_left(now), what }
+        };
+        match serde_json::to_vec(&told) {
             Ok(body) => Response::new(Full::new(Bytes::from(body))),
             Err(error) => {
-                log::error!("event=view-not-encoded error={error:?}");
-                answer::own(StatusCode::INTERNAL_SERVER_ERROR, "view-not-encoded")
+                log::error!("event=news-not-encoded error={error:?}");
+                answer::own(StatusCode::INTERNAL_SERVER_ERROR, "news-not-encoded")
             }
         }
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -8,7 +8,9 @@
 
 use bbv_core::admission::{Admission, Step};
 use bbv_core::budget::Share;
+use bbv_core::history::History;
 use bbv_core::place::{Report, Target};
+use bbv_core::readers::Readers;
 use bbv_core::route::{Name, Splitter};
 use bbv_core::spell::Spells;
 use bbv_core::suspect::Suspects;
@@ -22,6 +24,7 @@
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
+use crate::notice::vm_of;
 use crate::pool::Pool;
 use crate::settings::Settings;
 
@@ -89,6 +92,9 @@
     pub recent: HashMap<IpAddr, Micros>,
     pub own: Own,
     pub pulling: bool,
+    pub history: History,
+    pub readers: Readers,
+    pub store_away: bool,
     pub rng: SmallRng,
 }
 
@@ -130,6 +136,8 @@
     pub(crate) fn new(settings: Settings) -> Arc<Self> {
         let mut rng = SmallRng::from_os_rng();
         let incarnation = rng.random();
+        let me = vm_of(settings.peers.ip()).0;
+        let readers = Readers::new(u64::from(me), &settings.zone);
         let state = State {
             view: View::default(),
             admission: Admission::new(SLOTS_UNKNOWN),
@@ -143,6 +151,9 @@
             recent: HashMap::new(),
             own: Own::default(),
             pulling: false,
+            history: History::default(),
+            readers,
+            store_away: true,
             rng,
         };
         Arc::new(Node {
@@ -208,6 +219,12 @@
         SocketAddr::new(upstream.ip(), self.settings.peers.port())
     }
 
+    /// Whether this node watches the store and gets answers.
+    pub(crate) fn reads(&self) -> bool {
+        let state = self.lock();
+        state.readers.reading() && !state.store_away
+    }
+
     /// Logs changes of the view and applies them to the parts that depend on it.
     pub(crate) fn viewed(&self, source: &str, applied: &[Applied]) {
         if applied.is_empty() {
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -31,6 +31,7 @@
     instance: String,
     incarnation: u64,
     stopping: bool,
+    reads: bool,
     revision: Revision,
     running: u32,
     queued: u32,
@@ -93,6 +94,7 @@
 impl Node {
     fn notice(&self, crash: Option<Crash>) -> Notice {
         let now = self.now();
+        let reads = self.reads();
         let state = self.lock();
         let report = state.report(now);
         let instance = state.own.instance.as_deref().unwrap_or_default().to_owned();
@@ -100,6 +102,7 @@
             instance,
             incarnation: self.incarnation,
             stopping: self.stopping(),
+            reads,
             revision: state.view.through,
             running: report.running,
             queued: report.queued,
@@ -118,6 +121,7 @@
         let mut ticks = self.timer.every(TICK);
         let mut near = Due::default();
         let mut far = Due::default();
+        let mut told = Due::default();
         let mut gossiped: Micros = 0;
         loop {
             let now = ticks.next().await.now;
@@ -127,6 +131,12 @@
             let crowded = report.backlog > 0;
             let (closed, stopping) = (report.closed, self.stopping());
             let key = (report.speed_pct / SPEED_STEP, closed, report.cold, crowded, stopping);
+            if self.reads() {
+                let revision = self.revision();
+                if told.due(now, (revision as u32, false, false, false, false), HEARTBEAT) {
+                    self.send_to(&socket, &self.zone_peers(), None);
+                }
+            }
             if near.due(now, key, HEARTBEAT) {
                 self.send_to(&socket, &self.recent(now, true), None);
             }
@@ -157,6 +167,15 @@
         state.recent.keys().copied().filter(wanted).collect()
     }
 
+    /// Nodes of this zone.
+    fn zone_peers(&self) -> Vec<IpAddr> {
+        let state = self.lock();
+        let own = self.settings.peers.ip();
+        let zone = self.settings.zone.as_str();
+        let here = state.view.upstreams.values().filter(|up| &*up.zone == zone);
+        here.map(|up| up.addr.ip()).filter(|ip| *ip != own).collect()
+    }
+
     fn random_peer(&self) -> Option<IpAddr> {
         let mut state = self.lock();
         let state = &mut *state;
@@ -217,6 +236,10 @@
             peer.heard = now;
             peer.stopping = notice.stopping;
             peer.incarnation = notice.incarnation;
+            if state.same_zone(from, &self.settings.zone) {
+                let reads = notice.reads && !notice.stopping;
+                state.readers.heard(now, u64::from(vm_of(from).0), reads);
+            }
             if let Some(target) = state.targets.get_mut(notice.instance.as_str()) {
                 target.learn(now, Report::from(notice));
             }
