--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -38,7 +38,7 @@
 const SLOTS_UNKNOWN: u32 = 4;
 /// Share of the fleet's budget of retries that the nodes use, since requests whose run was
 /// itself a retry call again.
-const BUDGET_USE: f64 = 0.75;
+const BUDGET_USE: f64 = 0.5;
 
 /// What is known of another node.
 #[derive(Clone, Copy, Debug, Default)]
