Leave an unreachable gate out for longer with each failed connection

Change: the time for which a gate that cannot be connected is left out doubles up to 8 s; a notice from it ends that at once.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -119,6 +119,18 @@
         self.avoid_until = self.avoid_until.max(until);
     }
 
+    /// Ends the time in which the upstream is left out.
+    ///
+    /// ```
+    /// let mut target = bbv_core::place::Target::default();
+    /// target.avoid(9);
+    /// target.reachable();
+    /// assert!(!target.avoided(5));
+    /// ```
+    pub fn reachable(&mut self) {
+        self.avoid_until = 0;
+    }
+
     /// Whether the upstream is left out now where others can be chosen.
     ///
     /// ```
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -32,8 +32,9 @@
 const USUAL_GAIN: f64 = 0.1;
 /// Gates that may refuse one request before it is refused to its caller.
 const REFUSALS_MAX: usize = 4;
-/// Time for which an unreachable gate is left out.
+/// Time for which an unreachable gate is left out; it doubles with each failure in a row.
 const AVOID_UNREACHABLE: Micros = 500 * MS;
+const AVOID_DOUBLINGS: u32 = 4;
 /// Time for which a gate that refused is left out, at most.
 const AVOID_REFUSING: Micros = 30 * MS;
 /// Time named to a caller when nothing says when there is room.
@@ -389,7 +390,12 @@
         let target = state.targets.entry(instance.clone()).or_default();
         let reply = match tried {
             Tried::Ran(ran) => ran.reply,
-            Tried::Unsent(_) => return target.avoid(now + AVOID_UNREACHABLE),
+            Tried::Unsent(_) => {
+                let peer = state.peers.entry(ip).or_default();
+                let longer = peer.unreachable.min(AVOID_DOUBLINGS);
+                peer.unreachable += 1;
+                return target.avoid(now + (AVOID_UNREACHABLE << longer));
+            }
             Tried::Lost(_) | Tried::Late => return target.judge(now, false, 1.0),
         };
         target.learn(now, reply.report);
@@ -407,6 +413,7 @@
         }
         let peer = state.peers.entry(ip).or_default();
         peer.heard = now;
+        peer.unreachable = 0;
         let link = (now - sent).saturating_sub(reply.held);
         peer.link = if peer.link == 0 {
             link
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -53,6 +53,8 @@
     pub link: Micros,
     /// Time of the newest request to it.
     pub asked: Micros,
+    /// Connections to it in a row that could not be made.
+    pub unreachable: u32,
 }
 
 /// What requests of one route are like.
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -235,6 +235,8 @@
             let peer = state.peers.entry(from).or_default();
             peer.heard = now;
             peer.stopping = notice.stopping;
+            // It lives, so that a connection may be tried again at once.
+            let returned = std::mem::take(&mut peer.unreachable) > 0;
             peer.incarnation = notice.incarnation;
             if state.same_zone(from, &self.settings.zone) {
                 let reads = notice.reads && !notice.stopping;
@@ -242,6 +244,9 @@
             }
             if let Some(target) = state.targets.get_mut(notice.instance.as_str()) {
                 target.learn(now, Report::from(notice));
+                if returned {
+                    target.reachable();
+                }
             }
             if let Some(crash) = notice.crash {
                 state.suspects.report(now, crash);
