--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -204,3 +204,23 @@
         self.fresh(now).map_or(0, |report| report.backlog)
     }
 }
+
+/// Part of the target up to which an answer is nearly sure to be in time.
+const SURE: f64 = 0.4;
+/// Span over which it gets nearly sure to be late.
+const UNSURE: f64 = 0.8;
+/// Loss of a request that is answered just at its target and surely in time; it only ranks.
+const SLOWER: f64 = 0.05;
+
+/// Expected loss of a request that takes `cost` when `target` is left: 0 for one that is
+/// answered at once, 1 and more for one that is late.
+///
+/// ```
+/// use bbv_core::place::loss;
+/// assert!(loss(10, 100) < 0.1);
+/// assert!(loss(150, 100) >= 1.0);
+/// ```
+pub fn loss(cost: Micros, target: Micros) -> f64 {
+    let ratio = cost as f64 / target.max(1) as f64;
+    SLOWER * ratio + ((ratio - SURE) / UNSURE).clamp(0.0, 1.0)
+}
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -196,7 +196,8 @@
     /// ```
     /// use bbv_core::view::View;
     /// let mut view = View::default();
-    /// let newer = View { through: 4, ..View::default() };
+    /// let mut newer = View::default();
+    /// newer.through = 4;
     /// view.adopt(0, newer);
     /// assert_eq!(view.through, 4);
     /// ```
--- a/crates/mesh/src/cmd/run.rs
+++ b/crates/mesh/src/cmd/run.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use bbv_mesh::event::{self, Event};
 use bbv_mesh::settings::Settings;
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
@@ -39,8 +40,8 @@
 /// Reads changed settings; addresses cannot change while the process runs.
 fn reload(path: &str, held: &Settings) {
     match Settings::load(path) {
-        Ok(read) if read == *held => log::info!("event=reloaded changed=false"),
-        Ok(_) => log::warn!("event=reloaded changed=true effect=after-restart"),
-        Err(error) => log::error!("event=reload-failed error={:?}", format!("{error:#}")),
+        Ok(read) if read == *held => event::info(Event::Reloaded, &[("changed", &false)]),
+        Ok(_) => event::warn(Event::Reloaded, &[("changed", &true), ("effect", &"after restart")]),
+        Err(error) => event::warn(Event::Reloaded, &[("why", &format!("{error:#}"))]),
     }
 }
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::answer;
+use crate::event::{self, Event};
 use crate::node::Node;
 
 /// Longest time that one watch waits.
@@ -79,7 +80,7 @@
             match result {
                 Ok(changes) => {
                     if std::mem::take(&mut away) {
-                        log::info!("event=store-regained");
+                        event::info(Event::StoreRegained, &[("revision", &after)]);
                         let now = self.now();
                         self.lock().view.platform_returned(now);
                     }
@@ -95,12 +96,12 @@
                     self.timer.sleep(GATHER).await;
                 }
                 Err(StoreError::HistoryGone) => {
-                    log::info!("event=store-history-gone revision={after}");
+                    event::info(Event::StoreForgot, &[("revision", &after)]);
                     listed = false;
                 }
                 Err(error) => {
                     if !away {
-                        log::warn!("event=store-lost error={:?}", error.to_string());
+                        event::warn(Event::StoreLost, &[("revision", &after), ("why", &error)]);
                     }
                     away = true;
                     self.lock().store_away = true;
@@ -174,8 +175,10 @@
             let limit = self.now() + PULL;
             match self.timer.limit(limit, self.ask_news(from, before)).await {
                 Some(Ok(told)) => self.take_told(before, told),
-                Some(Err(why)) => log::info!("event=pull-failed from={from} why={why:?}"),
-                None => log::info!("event=pull-late from={from}"),
+                Some(Err(why)) => {
+                    event::info(Event::PullFailed, &[("from", &from), ("why", &why)]);
+                }
+                None => event::info(Event::PullFailed, &[("from", &from), ("why", &"late")]),
             }
         }
         self.lock().pulling = false;
@@ -230,7 +233,7 @@
         match serde_json::to_vec(&told) {
             Ok(body) => Response::new(Full::new(Bytes::from(body))),
             Err(error) => {
-                log::error!("event=news-not-encoded error={error:?}");
+                event::warn(Event::PullFailed, &[("to", &"peer"), ("why", &error)]);
                 answer::own(StatusCode::INTERNAL_SERVER_ERROR, "news-not-encoded")
             }
         }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::answer::{self, Verdict};
+use crate::event::{self, Event};
 use crate::message::{Ask, Ended, Reply};
 use crate::node::{Node, Open};
 use crate::pool::{Conn, SendError};
@@ -74,11 +75,54 @@
     }
 }
 
-/// How the exchange with the upstream ended.
-enum Exchange {
-    Answered(Response<Full<Bytes>>, Place),
-    Rejected,
-    Lost(&'static str, String),
+/// How a request ended at the gate.
+struct End {
+    ended: Ended,
+    retry: Micros,
+    work: Micros,
+    why: String,
+    response: Option<Response<Full<Bytes>>>,
+}
+
+impl End {
+    fn refused(ended: Ended, retry: Micros) -> Self {
+        End { ended, retry, work: 0, why: "none".to_owned(), response: None }
+    }
+
+    fn lost(ended: Ended, why: String) -> Self {
+        End { ended, retry: 0, work: 0, why, response: None }
+    }
+
+    fn answered(response: Response<Full<Bytes>>, work: Micros) -> Self {
+        let why = "none".to_owned();
+        End { ended: Ended::Answered, retry: 0, work, why, response: Some(response) }
+    }
+}
+
+fn record(id: &str, ask: &Ask, reply: &Reply, why: &str, report_age: Micros) {
+    let report = &reply.report;
+    let write = match reply.ended {
+        Ended::Answered => event::debug,
+        Ended::Lost | Ended::Unsent => event::warn,
+        _ => event::info,
+    };
+    write(
+        Event::GateEnded,
+        &[
+            ("id", &id),
+            ("ended", &reply.ended.name()),
+            ("why", &why),
+            ("left_us", &ask.left),
+            ("held_us", &reply.held),
+            ("running", &report.running),
+            ("queued", &report.queued),
+            ("limit", &report.limit),
+            ("speed_pct", &report.speed_pct),
+            ("cold", &report.cold),
+            ("report_age_us", &report_age),
+            ("revision", &reply.revision),
+        ],
+    );
 }
 
 impl Node {
@@ -93,41 +137,44 @@
         let arrived = self.now();
         self.lock().recent.insert(from, arrived);
         let id = head.headers.get(header::ATTEMPT).cloned();
-        let (ended, retry, response, work) = match self.enter(&ask, arrived).await {
-            Err((ended, retry)) => (ended, retry, None, 0),
-            Ok(place) => match self.fast_enough(&ask, arrived).await {
-                Some(retry) => (Ended::Refused(Reason::Slow), retry, None, 0),
-                None => {
-                    let started = self.now();
-                    let speed = u64::from(self.lock().admission.speed_pct());
-                    self.metrics.waited.observe((started - arrived) as f64 / 1e6);
-                    let deadline = arrived + ask.left;
-                    let exchange = self.exchange(&ask, head, body, deadline, place);
-                    match self.timer.limit(deadline, exchange).await {
-                        None => (Ended::Expired, 0, None, 0),
-                        Some(Exchange::Rejected) => (Ended::Rejected, 0, None, 0),
-                        Some(Exchange::Lost(what, why)) => {
-                            log::warn!("event=upstream-lost id={id:?} what={what:?} why={why:?}");
-                            (Ended::Lost, 0, None, 0)
-                        }
-                        Some(Exchange::Answered(response, place)) => {
-                            let took = self.now() - started;
-                            place.finish();
-                            (Ended::Answered, 0, Some(response), took * 100 / speed)
-                        }
-                    }
-                }
-            },
-        };
-        self.metrics.admitted.with_label_values(&[ended.name()]).inc();
-        if ended != Ended::Answered {
-            log::info!("event=gate-ended id={id:?} ended={} left_us={}", ended.name(), ask.left);
-        }
+        let end = self.admit(&ask, head, body, arrived).await;
+        self.metrics.admitted.with_label_values(&[end.ended.name()]).inc();
         let now = self.now();
         let state = self.lock();
-        let held = now - arrived;
         let (report, revision) = (state.report(now), state.view.through);
-        Ran { reply: Reply { ended, retry, work, held, report, revision }, response }
+        let report_age = now.saturating_sub(state.own.reported);
+        drop(state);
+        let held = now - arrived;
+        let reply =
+            Reply { ended: end.ended, retry: end.retry, work: end.work, held, report, revision };
+        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
+        record(id, &ask, &reply, &end.why, report_age);
+        Ran { reply, response: end.response }
+    }
+
+    /// Waits for room, then for speed, and runs a request.
+    async fn admit(self: &Arc<Self>, ask: &Ask, head: Parts, body: Bytes, arrived: Micros) -> End {
+        let place = match self.enter(ask, arrived).await {
+            Ok(place) => place,
+            Err((ended, retry)) => return End::refused(ended, retry),
+        };
+        if let Some(retry) = self.fast_enough(ask, arrived).await {
+            return End::refused(Ended::Refused(Reason::Slow), retry);
+        }
+        let started = self.now();
+        let speed = u64::from(self.lock().admission.speed_pct());
+        self.metrics.waited.observe((started - arrived) as f64 / 1e6);
+        let deadline = arrived + ask.left;
+        let exchange = self.exchange(ask, head, body, deadline);
+        match self.timer.limit(deadline, exchange).await {
+            None => End::lost(Ended::Expired, "no answer at the deadline".to_owned()),
+            Some(Err(end)) => end,
+            Some(Ok(response)) => {
+                let took = self.now() - started;
+                place.finish();
+                End::answered(response, took * 100 / speed)
+            }
+        }
     }
 
     /// Waits for a place on the upstream.
@@ -200,14 +247,14 @@
         }
     }
 
+    /// Sends a request to the upstream and reads its whole answer.
     async fn exchange(
         self: &Arc<Self>,
         ask: &Ask,
         mut head: Parts,
         body: Bytes,
         deadline: Micros,
-        place: Place,
-    ) -> Exchange {
+    ) -> Result<Response<Full<Bytes>>, End> {
         let method = head.method.clone();
         let attempt = head.headers.get(header::ATTEMPT).cloned();
         let left = Duration::from_micros(deadline.saturating_sub(self.now()));
@@ -216,29 +263,24 @@
         let sent = self.upstream_pool.send(self.settings.upstream, request).await;
         let (response, conn) = match sent {
             Ok(sent) => sent,
-            Err(SendError::Unsent(why)) => {
-                log::info!("event=upstream-unreachable why={why:?}");
-                return Exchange::Rejected;
-            }
-            Err(error) => {
+            Err(SendError::Unsent(why)) => return Err(End::lost(Ended::Unsent, why)),
+            Err(SendError::Lost(why)) => {
                 self.suspect_crash(ask);
-                return Exchange::Lost("no answer", error.to_string());
+                return Err(End::lost(Ended::Lost, why));
             }
         };
         let (head, body) = response.into_parts();
         self.learn_load(&head.headers);
         let verdict = answer::judge(head.status, &head.headers, attempt.as_ref());
         if let Verdict::Foreign(why) = verdict {
-            return Exchange::Lost("foreign answer", why.to_owned());
+            return Err(End::lost(Ended::Lost, why.to_owned()));
         }
-        let body = match self.collect(&head, body, conn).await {
-            Ok(body) => body,
-            Err(error) => return Exchange::Lost("answer broke off", error.to_string()),
-        };
+        let body = self.collect(&head, body, conn).await;
+        let body = body.map_err(|error| End::lost(Ended::Lost, error.to_string()))?;
         if verdict == Verdict::NotRun {
-            return Exchange::Rejected;
+            return Err(End::lost(Ended::Rejected, format!("status {}", head.status.as_u16())));
         }
-        Exchange::Answered(answer::pass_on(&method, head, body), place)
+        Ok(answer::pass_on(&method, head, body))
     }
 
     /// Reads a whole body and keeps the connection for the next request.
@@ -276,7 +318,7 @@
         let body = match body.collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
-                log::info!("event=peer-request-broken from={from} error={error:?}");
+                event::info(Event::CallBroken, &[("from", &from), ("why", &error)]);
                 return answer::own(StatusCode::BAD_REQUEST, "broken");
             }
         };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! those of `bbv-core`; this crate moves bytes and keeps time.
 
 mod answer;
+pub mod event;
 mod follow;
 mod gate;
 mod ingress;
@@ -15,6 +16,7 @@
 mod notice;
 mod pool;
 mod probe;
+mod send;
 mod server;
 pub mod settings;
 
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -41,6 +41,8 @@
     Answered,
     /// The upstream got it and said that it did not run it.
     Rejected,
+    /// No connection to the upstream could be made.
+    Unsent,
     /// It was not sent to the upstream.
     Refused(Reason),
     /// It crashed upstreams and was not sent to another one.
@@ -77,6 +79,7 @@
         match self {
             Ended::Answered => "answered",
             Ended::Rejected => "rejected",
+            Ended::Unsent => "unsent",
             Ended::Refused(reason) => reason.name(),
             Ended::Poison => "poison",
             Ended::Lost => "lost",
@@ -88,6 +91,7 @@
         match name {
             "answered" => Some(Ended::Answered),
             "rejected" => Some(Ended::Rejected),
+            "unsent" => Some(Ended::Unsent),
             "poison" => Some(Ended::Poison),
             "lost" => Some(Ended::Lost),
             "expired" => Some(Ended::Expired),
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -34,6 +34,8 @@
     pub queued: IntGauge,
 }
 
+use crate::event::{self, Event};
+
 const SECONDS: &[f64] = &[0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0];
 
 fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
@@ -95,7 +97,7 @@
         match TextEncoder::new().encode(&self.registry.gather(), &mut out) {
             Ok(()) => String::from_utf8_lossy(&out).into_owned(),
             Err(error) => {
-                log::error!("event=metrics-failed error={error:?}");
+                event::warn(Event::MetricsFailed, &[("why", &error)]);
                 String::new()
             }
         }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -23,6 +23,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use crate::event::{self, Event};
 use crate::metrics::Metrics;
 use crate::notice::vm_of;
 use crate::pool::Pool;
@@ -235,10 +236,10 @@
         let mut state = self.lock();
         let through = state.view.through;
         for change in applied {
-            log::info!(
-                "event=view-changed source={source} revision={through} {}",
-                describe(change)
-            );
+            let change = describe(change);
+            let values: [(&str, &dyn std::fmt::Display); 3] =
+                [("source", &source), ("revision", &through), ("change", &change)];
+            event::info(Event::ViewChanged, &values);
         }
         state.settle(&self.settings);
         drop(state);
@@ -266,6 +267,16 @@
         }
     }
 
+    /// Brings the gauges up to date.
+    pub(crate) fn gauge(&self) {
+        let now = self.now();
+        let state = self.lock();
+        let version = state.view.routing.as_ref().map_or(0, |routing| routing.version);
+        self.metrics.version.set(version as i64);
+        self.metrics.limit.set(i64::from(state.admission.limit(now)));
+        self.metrics.queued.set(i64::from(state.admission.queued()));
+    }
+
     /// Records a first request to `service`, which earns a share of a retry.
     pub(crate) fn earn(&self, service: &Name) {
         self.lock().budget(&self.settings, service).earn();
@@ -351,11 +362,11 @@
 
 fn describe(change: &Applied) -> String {
     match change {
-        Applied::Same => "change=none".to_owned(),
-        Applied::Routed(version) => format!("change=routing version={version}"),
-        Applied::Listed(id) => format!("change=listed instance={id}"),
-        Applied::Unlisted(id) => format!("change=unlisted instance={id}"),
-        Applied::Lapsed(id) => format!("change=lapsed instance={id}"),
-        Applied::Zone(zone, out) => format!("change=zone zone={zone} out={out}"),
+        Applied::Same => "none".to_owned(),
+        Applied::Routed(version) => format!("routing version={version}"),
+        Applied::Listed(id) => format!("listed instance={id}"),
+        Applied::Unlisted(id) => format!("unlisted instance={id}"),
+        Applied::Lapsed(id) => format!("lapsed instance={id}"),
+        Applied::Zone(zone, out) => format!("zone zone={zone} out={out}"),
     }
 }
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::event::{self, Event};
 use crate::node::{Node, RECENT};
 
 /// Interval at which waiting requests and the need for a notice are looked at.
@@ -195,7 +196,7 @@
             self.metrics.notices.inc();
             // A notice that is lost is followed by another one.
             if let Err(error) = socket.try_send_to(&bytes, addr) {
-                log::debug!("event=notice-unsent to={addr} error={error:?}");
+                event::debug(Event::NoticeFailed, &[("to", &addr), ("why", &error)]);
             }
         }
     }
@@ -218,10 +219,12 @@
             match socket.recv_from(&mut bytes).await {
                 Ok((len, from)) => match postcard::from_bytes::<Notice>(&bytes[..len]) {
                     Ok(notice) => self.heard(from.ip(), &notice),
-                    Err(error) => log::warn!("event=notice-malformed from={from} error={error:?}"),
+                    Err(error) => {
+                        event::warn(Event::NoticeFailed, &[("from", &from), ("why", &error)]);
+                    }
                 },
                 Err(error) => {
-                    log::warn!("event=notice-not-received error={error:?}");
+                    event::warn(Event::NoticeFailed, &[("why", &error)]);
                     self.timer.sleep(TICK).await;
                 }
             }
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -17,6 +17,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::event::{self, Event};
+
 /// Why a request has no answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SendError {
@@ -119,7 +121,8 @@
         let (sender, driver) = handshake.map_err(|error| describe(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = driver.await {
-                log::debug!("event=connection-ended peer={addr} error={:?}", describe(&error));
+                let why = describe(&error);
+                event::debug(Event::ConnectionEnded, &[("peer", &addr), ("why", &why)]);
             }
         });
         let idle_limit = self.idle_limit;
@@ -140,11 +143,6 @@
             list.push(conn);
         }
     }
-
-    /// Closes the idle connections to `addr`.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.idle.lock().remove(&addr);
-    }
 }
 
 fn describe(error: &hyper::Error) -> String {
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 
+use crate::event::{self, Event};
 use crate::message::Ask;
 use crate::node::Node;
 use crate::notice::vm_of;
@@ -69,8 +70,8 @@
                 self.learn_health(&head.headers);
             }
             Some(Err(SendError::Unsent(why))) => self.learn_down(&why),
-            Some(Err(SendError::Lost(why))) => log::info!("event=probe-lost why={why:?}"),
-            None => log::info!("event=probe-late"),
+            Some(Err(SendError::Lost(why))) => event::info(Event::ProbeFailed, &[("why", &why)]),
+            None => event::info(Event::ProbeFailed, &[("why", &"late")]),
         }
     }
 
@@ -80,14 +81,16 @@
         let mut state = self.lock();
         let instance = header::instance(headers);
         if instance.is_some() && instance != state.own.instance.as_deref() {
-            log::info!("event=upstream-instance was={:?} is={instance:?}", state.own.instance);
+            let was = state.own.instance.as_deref().unwrap_or("none").to_owned();
+            let is = instance.unwrap_or("none");
+            event::info(Event::UpstreamInstance, &[("was", &was), ("is", &is)]);
             state.own.instance = instance.map(Into::into);
             state.own.listed = false;
         }
         let cold = header::cold(headers).map_or(0, |left| left.as_micros() as Micros);
         state.admission.set_cold(if cold > 0 { now + cold } else { 0 });
         if state.own.down {
-            log::info!("event=upstream-up instance={instance:?}");
+            event::info(Event::UpstreamUp, &[("instance", &instance.unwrap_or("none"))]);
         }
         state.set_down(&self.settings, false);
     }
@@ -95,7 +98,7 @@
     fn learn_down(&self, why: &str) {
         let mut state = self.lock();
         if !state.own.down {
-            log::warn!("event=upstream-down why={why:?}");
+            event::warn(Event::UpstreamDown, &[("why", &why)]);
         }
         state.set_down(&self.settings, true);
     }
@@ -118,7 +121,8 @@
             let crash = Crash { print, vm: vm_of(upstream.ip()) };
             let now = node.now();
             let new = node.lock().suspects.report(now, crash);
-            log::warn!("event=upstream-crashed print={print:016x} new={new}");
+            let print = format!("{print:016x}");
+            event::warn(Event::UpstreamCrashed, &[("print", &print), ("new", &new)]);
             if let (true, Some(socket)) = (new, node.socket.get()) {
                 node.tell_crash(socket, crash);
             }
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 use crate::answer;
+use crate::event::{self, Event};
 use crate::node::Node;
 use crate::pool;
 use crate::settings::Settings;
@@ -54,11 +55,12 @@
     let node = Node::new(settings);
     let settings = &node.settings;
     let (closing, closed) = watch::channel(false);
-    let doors = [
+    let mut doors = vec![
         (Door::Operators, settings.readiness),
         (Door::Peers, settings.peers),
         (Door::Callers, settings.callers),
     ];
+    doors.extend(settings.metrics.map(|addr| (Door::Operators, addr)));
     for (door, addr) in doors {
         let listener = TcpListener::bind(addr).await;
         let listener = listener.wrap_err_with(|| format!("could not listen on {addr}"))?;
@@ -72,12 +74,8 @@
     tokio::spawn(Arc::clone(&node).probe());
     tokio::spawn(Arc::clone(&node).send_notices(Arc::clone(&socket)));
     tokio::spawn(Arc::clone(&node).receive_notices(socket));
-    log::info!(
-        "event=started node={} zone={} service={}",
-        settings.node,
-        settings.zone,
-        settings.service
-    );
+    let (name, zone, service) = (&settings.node, &settings.zone, &settings.service);
+    event::info(Event::Started, &[("node", name), ("zone", zone), ("service", service)]);
     Ok(Running { node, closing })
 }
 
@@ -87,7 +85,7 @@
         let node = &self.node;
         let begun = node.now();
         let last = begun + node.settings.grace.saturating_sub(STOP_RESERVE);
-        log::info!("event=stopping open={}", node.open.load(Ordering::Relaxed));
+        event::info(Event::Stopping, &[("open", &node.open.load(Ordering::Relaxed))]);
         node.stop();
         node.timer.sleep_until(last.min(begun + UNREADY)).await;
         node.close();
@@ -96,7 +94,7 @@
         while node.open.load(Ordering::Relaxed) > 0 && node.now() < last {
             node.timer.sleep(STOP_POLL).await;
         }
-        log::info!("event=stopped open={}", node.open.load(Ordering::Relaxed));
+        event::info(Event::Stopped, &[("open", &node.open.load(Ordering::Relaxed))]);
     }
 }
 
@@ -116,7 +114,7 @@
                 tokio::spawn(serve(Arc::clone(&node), door, stream, from, closed.clone()));
             }
             Err(error) => {
-                log::warn!("event=accept-failed door={door:?} error={error:?}");
+                event::warn(Event::AcceptFailed, &[("why", &error)]);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -136,7 +134,7 @@
     mut closed: watch::Receiver<bool>,
 ) {
     if let Err(error) = pool::tune(&stream) {
-        log::debug!("event=connection-untuned from={from} error={error:?}");
+        event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
     }
     let ip = from.ip();
     let service = service_fn(move |request| {
@@ -156,7 +154,7 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!("event=connection-ended from={from} error={error:?}");
+        event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
     }
 }
 
@@ -177,7 +175,10 @@
     match path {
         bbv_platform::READINESS if node.ready() => answer::own(StatusCode::OK, "ready"),
         bbv_platform::READINESS => answer::own(StatusCode::SERVICE_UNAVAILABLE, "unready"),
-        "/metrics" => Response::new(Full::new(Bytes::from(node.metrics.render()))),
+        "/metrics" => {
+            node.gauge();
+            Response::new(Full::new(Bytes::from(node.metrics.render())))
+        }
         _ => answer::own(StatusCode::NOT_FOUND, "no-such-page"),
     }
 }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -33,12 +33,18 @@
     pub retry_share: f64,
     /// Retries beyond that share that all nodes together may send.
     pub retry_burst: f64,
+    /// Loss that a kilobyte between zones is worth, as a share of a request.
+    pub zone_kb_cost: f64,
+    /// Address for metrics, if they have one of their own.
+    pub metrics: Option<SocketAddr>,
 }
 
 const GRACE_S: f64 = 6.0;
 const GRACE_MAX_S: f64 = 3_600.0;
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
+const ZONE_KB_COST: f64 = 0.2;
+const ZONE_KB_COST_MAX: f64 = 100.0;
 const RETRY_BURST_MAX: f64 = 1e6;
 
 fn addr(text: &str) -> Result<SocketAddr, String> {
@@ -49,6 +55,17 @@
     root.parsed(key, addr).unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
 
+fn optional_addr(root: &mut Reader<'_>, key: &str) -> Option<SocketAddr> {
+    let text = root.optional_text(key)?;
+    match addr(&text) {
+        Ok(addr) => Some(addr),
+        Err(message) => {
+            root.fault(key, message);
+            None
+        }
+    }
+}
+
 impl Default for Settings {
     /// Settings with every default, on no address.
     fn default() -> Self {
@@ -66,6 +83,8 @@
             grace: (GRACE_S * SEC as f64) as Micros,
             retry_share: RETRY_SHARE,
             retry_burst: RETRY_BURST,
+            zone_kb_cost: ZONE_KB_COST,
+            metrics: None,
         }
     }
 }
@@ -95,6 +114,10 @@
             retry_burst: root
                 .optional_float("retry_burst", 0.0..=RETRY_BURST_MAX)
                 .unwrap_or(RETRY_BURST),
+            zone_kb_cost: root
+                .optional_float("zone_kb_cost", 0.0..=ZONE_KB_COST_MAX)
+                .unwrap_or(ZONE_KB_COST),
+            metrics: optional_addr(root, "metrics"),
         })
     }
 
