Tell why a request failed from the logs of several nodes

Cause: on-call engineers have only logs and metrics. The stand-ins move to platform/stand, so that tests can also run real processes. Measured: three tests trace a refusal, a lost answer and a missing route in logs of real processes.

--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod diff;
 pub mod reconcile;
 pub mod status;
+pub mod why;
 
 use std::process::ExitCode;
 
@@ -20,9 +21,11 @@
   bbvctl status NODE...        shows where each revision is in force
   bbvctl audit NODE            shows the audit trail (--since N: from line N on)
   bbvctl reconcile STATEMENT...  compares what both sides counted
+  bbvctl why ID LOG...         tells why a request ended as it did
 
 NODE is the operators' address of a node, such as 10.0.0.7:8081.
 STATEMENT is such an address or a file with a node's statement.
+LOG is a file with the log of one node.
 --json prints one line of JSON.
 
 exit codes: 0 good, 1 faults, differences, gaps or nodes behind, 2 bad usage,
@@ -48,9 +51,11 @@
     act: impl FnOnce(&Matches) -> eyre::Result<Verdict>,
 ) -> ExitCode {
     let mut options = Options::new();
+    options.optflag("h", "help", "print the usage");
     options.optflag("", "json", "print JSON");
     options.optopt("", "since", "first line", "N");
     let matches = match options.parse(args) {
+        Ok(matches) if matches.opt_present("help") => return help(),
         Ok(matches) if count(matches.free.len()) => matches,
         Ok(_) => return usage(),
         Err(error) => {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod fetch;
 pub mod output;
+pub mod story;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -12,6 +12,7 @@
         Some((name, rest)) if name == "diff" => cmd::diff::run(rest),
         Some((name, rest)) if name == "reconcile" => cmd::reconcile::run(rest),
         Some((name, rest)) if name == "status" => cmd::status::run(rest),
+        Some((name, rest)) if name == "why" => cmd::why::run(rest),
         Some((name, _)) if name == "--help" || name == "-h" => cmd::help(),
         _ => cmd::usage(),
     }
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn output_and_exit_codes() {
-    let cases: [(&str, &[&str]); 8] = [
+    let cases: [(&str, &[&str]); 12] = [
         ("check_good", &["check", "../../../../examples/serimas.yaml"]),
         ("check_bad", &["check", "bad.yaml"]),
         ("check_bad_json", &["check", "--json", "bad.yaml"]),
@@ -30,6 +30,10 @@
         ("diff_same", &["diff", "old.yaml", "old.yaml"]),
         ("reconcile", &["reconcile", "a.json", "b.json"]),
         ("usage", &["mend", "everything"]),
+        ("why", &["why", "a1", "n0.log", "n1.log"]),
+        ("why_json", &["why", "--json", "a1", "n0.log", "n1.log"]),
+        ("why_unknown", &["why", "a2", "n0.log"]),
+        ("help_of_subcommand", &["reconcile", "--help"]),
     ];
     for (name, args) in cases {
         insta::assert_snapshot!(name, bbvctl(args));
--- a/crates/mesh/src/cmd/run.rs
+++ b/crates/mesh/src/cmd/run.rs
@@ -11,7 +11,9 @@
 pub fn run(args: &[String]) -> ExitCode {
     let [path] = args else { return super::usage() };
     bbv_mesh::logs::start();
-    super::report(Settings::load(path).and_then(|settings| start(path, settings)))
+    let result = Settings::load(path).and_then(|settings| start(path, settings));
+    bbv_mesh::logs::finish();
+    super::report(result)
 }
 
 fn start(path: &str, settings: Settings) -> Result<()> {
--- a/crates/mesh/src/logs.rs
+++ b/crates/mesh/src/logs.rs
@@ -1,22 +1,33 @@
 //! Logs on standard output that never block the process.
 
 use std::io::{self, Write};
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
 
 use env_logger::{Builder, Env, Target};
 
 /// Lines that wait for the writer; more are dropped and counted.
 const QUEUE: usize = 1_024;
+/// Time in which the last lines are written when the process ends.
+const FINISH: Duration = Duration::from_millis(200);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static SENDER: OnceLock<SyncSender<Message>> = OnceLock::new();
+
+enum Message {
+    Line(Vec<u8>),
+    /// Asks the writer to tell when all lines before this are written.
+    Finish(SyncSender<()>),
+}
 
 /// Hands lines to the thread that writes them.
-struct Lines(SyncSender<Vec<u8>>);
+struct Lines(SyncSender<Message>);
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.0.try_send(line.to_vec()) {
+        if let Err(TrySendError::Full(_)) = self.0.try_send(Message::Line(line.to_vec())) {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -32,28 +43,52 @@
 /// ```
 /// bbv_mesh::logs::start();
 /// log::info!("event=example");
+/// bbv_mesh::logs::finish();
 /// ```
 pub fn start() {
-    let (sender, lines) = sync_channel::<Vec<u8>>(QUEUE);
-    let writer = move || {
-        let mut out = io::stdout();
-        for line in lines {
-            // Nobody is left to tell when standard output is gone.
-            let _ = out.write_all(&line);
-            let dropped = DROPPED.swap(0, Ordering::Relaxed);
-            if dropped > 0 {
-                let _ = writeln!(out, "level=WARN event=log-dropped lines={dropped}");
-            }
-        }
-    };
-    if std::thread::Builder::new().name("logs".to_owned()).spawn(writer).is_err() {
-        eprintln!("level=ERROR event=log-writer-missing");
+    let (sender, messages) = sync_channel::<Message>(QUEUE);
+    let thread = std::thread::Builder::new().name("logs".to_owned());
+    if let Err(error) = thread.spawn(move || write_all(&messages)) {
+        eprintln!("level=ERROR event=log-writer-missing error={error:?}");
     }
     let started = Builder::from_env(Env::default().default_filter_or("info"))
         .format(|out, record| writeln!(out, "level={} {}", record.level(), record.args()))
-        .target(Target::Pipe(Box::new(Lines(sender))))
+        .target(Target::Pipe(Box::new(Lines(sender.clone()))))
         .try_init();
-    if let Err(error) = started {
-        eprintln!("level=WARN event=log-started-twice error={error:?}");
+    match started {
+        Ok(()) => drop(SENDER.set(sender)),
+        Err(error) => eprintln!("level=WARN event=log-started-twice error={error:?}"),
+    }
+}
+
+fn write_all(messages: &Receiver<Message>) {
+    let mut out = io::stdout();
+    for message in messages {
+        // Nobody is left to tell when standard output is gone.
+        let _ = match message {
+            Message::Line(line) => out.write_all(&line),
+            Message::Finish(done) => {
+                let _ = done.try_send(());
+                out.flush()
+            }
+        };
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let _ = writeln!(out, "level=WARN event=log-dropped lines={dropped}");
+        }
+    }
+}
+
+/// Waits a moment until the lines so far are written, for the end of the process.
+///
+/// ```
+/// bbv_mesh::logs::finish();
+/// ```
+pub fn finish() {
+    let Some(sender) = SENDER.get() else { return };
+    let (done, written) = sync_channel(1);
+    if sender.try_send(Message::Finish(done)).is_ok() {
+        // A reader that stopped reading must not keep the process.
+        let _ = written.recv_timeout(FINISH);
     }
 }
--- /dev/null
+++ b/crates/mesh/tests/explain.rs
@@ -0,0 +1,107 @@
+//! From the id of a failed request to its cause, with logs of real processes alone.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bbv_ctl::story::{self, Line, Story};
+use bbv_stand::client;
+use bbv_stand::fleet::{Fleet, until};
+use bbv_stand::process::Process;
+use bbv_stand::upstream::Habit;
+
+struct Real {
+    fleet: Fleet,
+    processes: Vec<Process>,
+}
+
+impl Real {
+    async fn start(name: &str, zones: &[&str]) -> Self {
+        let fleet = Fleet::without_nodes(zones).await;
+        fleet.publish();
+        let folder: PathBuf = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let program = Path::new(env!("CARGO_BIN_EXE_bbv-mesh"));
+        let start = |settings| Process::start(program, &folder, settings).expect("it starts");
+        let processes = fleet.members.iter().map(|member| start(&member.settings)).collect();
+        let real = Real { fleet, processes };
+        for at in 0..zones.len() {
+            real.until_status(at, 200).await;
+        }
+        real
+    }
+
+    async fn until_status(&self, at: usize, status: u16) {
+        for _ in 0..500 {
+            let text = client::request("GET", "/get/ready", "ready", 1_000, "");
+            if client::try_send(self.fleet.callers(at), &text).await.status == status {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("node {at} never answered {status}");
+    }
+
+    /// Reads the logs until they tell how request `id` ended for its caller.
+    async fn story(&self, id: &str) -> Story {
+        for _ in 0..200 {
+            let mut lines = Vec::new();
+            for process in &self.processes {
+                let text = std::fs::read_to_string(process.log()).expect("the log is there");
+                lines.extend(text.lines().filter_map(|line| Line::parse("log", line)));
+            }
+            if let Some(story) = story::tell(id, &lines)
+                && story.lines.iter().any(|line| line.event == "call")
+            {
+                return story;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no log names {id}");
+    }
+}
+
+#[tokio::test]
+async fn refusal_under_overload_is_traced_to_the_gate() {
+    let real = Real::start("overload", &["z"]).await;
+    *real.fleet.members[0].upstream.delay.lock() = Duration::from_millis(600);
+    let callers = real.fleet.callers(0);
+    let mut sent = Vec::new();
+    for at in 0..40 {
+        let text = client::request("POST", "/post/1", &format!("over-{at}"), 700, "body");
+        sent.push(tokio::spawn(async move { client::send(callers, &text).await }));
+    }
+    let mut refused = None;
+    for (at, sent) in sent.into_iter().enumerate() {
+        let answer = sent.await.expect("the caller waits");
+        if answer.status == 503 {
+            assert!(answer.header("retry-after").is_some());
+            refused = Some(format!("over-{at}"));
+        }
+    }
+    let story = real.story(&refused.expect("some requests are refused")).await;
+    assert!(story.cause.starts_with("refused: it could not have been answered"), "{}", story.cause);
+}
+
+#[tokio::test]
+async fn lost_answer_is_traced_to_the_upstream() {
+    let real = Real::start("lost", &["z"]).await;
+    real.fleet.members[0].upstream.set(Habit::LosesAnswer);
+    assert_eq!(real.fleet.post(0, "/post/1", "lost-1").await.status, 502);
+    let story = real.story("lost-1").await;
+    assert!(
+        story.cause.starts_with("outcome unknown: the upstream's answer was lost"),
+        "{}",
+        story.cause
+    );
+}
+
+#[tokio::test]
+async fn missing_route_is_traced_to_old_knowledge() {
+    let real = Real::start("stale", &["z"]).await;
+    real.fleet.members[0].door.refuse.store(true, std::sync::atomic::Ordering::Relaxed);
+    let log = real.processes[0].log();
+    let lost = || std::fs::read_to_string(log).is_ok_and(|text| text.contains("store-lost"));
+    until("the node notices that the store refuses it", lost).await;
+    assert_eq!(real.fleet.get(0, "/new/1", "stale-1").await.status, 404);
+    let story = real.story("stale-1").await;
+    assert!(story.cause.contains("the store was away"), "{}", story.cause);
+}
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -1,12 +1,10 @@
 //! What nodes know of the fleet while the store misbehaves, and planned stops.
 
-mod support;
-
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use support::client;
-use support::fleet::{Fleet, config, until};
+use bbv_stand::client;
+use bbv_stand::fleet::{Fleet, config, until};
 
 #[tokio::test]
 async fn draining_upstream_gets_no_request() {
--- a/crates/mesh/tests/path.rs
+++ b/crates/mesh/tests/path.rs
@@ -1,12 +1,10 @@
 //! The way of a request through real nodes, and what becomes of it when upstreams misbehave.
 
-mod support;
-
 use std::time::Duration;
 
-use support::client;
-use support::fleet::{Fleet, config, until};
-use support::upstream::Habit;
+use bbv_stand::client;
+use bbv_stand::fleet::{Fleet, config, until};
+use bbv_stand::upstream::Habit;
 
 #[tokio::test]
 async fn request_reaches_the_upstream_unchanged() {
