Add a soak of real processes under seeded faults

Cause: nothing ran the real programs under faults from outside. Change: bbv-soak starts nodes as processes with proxies in front of store and upstreams, draws pauses, kills, stops, reloads, refusals, slow, silent and reset links and misbehaving upstreams from a seed, and holds what callers got against what upstreams ran.

--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,143 @@
+//! Faults that a seed draws, and how they are injected.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bbv_stand::fleet::Fleet;
+use bbv_stand::process::{Process, Signal};
+use bbv_stand::upstream::Habit;
+use eyre::{Result, WrapErr};
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::proxy::{MODES, Mode, Proxy};
+
+/// One fault at one node.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// The process is paused and goes on later.
+    Pause,
+    /// The process is killed and started again.
+    Kill,
+    /// The process is told to stop and is started again when it has ended.
+    Restart,
+    /// The process is told to read its settings again.
+    Reload,
+    /// The store refuses the node, or serves it again.
+    Refuse(bool),
+    /// The way to the store changes.
+    StoreLink(Mode),
+    /// The way to the upstream changes.
+    UpstreamLink(Mode),
+    /// The upstream changes its habit.
+    Upstream(Habit),
+}
+
+/// One node with the ways around it.
+pub struct Node {
+    /// Process.
+    pub process: Process,
+    /// Proxy in front of the store.
+    pub store: Proxy,
+    /// Proxy in front of the upstream.
+    pub upstream: Proxy,
+    /// Whether the process was told to stop and is not yet started again.
+    pub stopping: bool,
+    /// Whether the process is paused.
+    pub paused: bool,
+}
+
+const HABITS: [Habit; 9] = [
+    Habit::Answers,
+    Habit::Hangs,
+    Habit::LosesAnswer,
+    Habit::Rejects,
+    Habit::Truncates,
+    Habit::AnswersTwice,
+    Habit::Crosses,
+    Habit::Unsigned,
+    Habit::Crashes,
+];
+
+impl Fault {
+    /// Draws a fault.
+    pub fn draw(rng: &mut SmallRng) -> Self {
+        match rng.random_range(0..9) {
+            0 => Fault::Pause,
+            1 => Fault::Kill,
+            2 => Fault::Restart,
+            3 => Fault::Reload,
+            4 => Fault::Refuse(rng.random()),
+            5 => Fault::StoreLink(MODES[rng.random_range(0..MODES.len())]),
+            6 => Fault::UpstreamLink(MODES[rng.random_range(0..MODES.len())]),
+            _ => Fault::Upstream(HABITS[rng.random_range(0..HABITS.len())]),
+        }
+    }
+
+    /// Injects the fault at node `at`.
+    pub fn inject(self, fleet: &Fleet, at: usize, node: &mut Node) -> Result<()> {
+        let member = &fleet.members[at];
+        match self {
+            Fault::Pause if node.paused => {
+                node.paused = false;
+                signal(node, Signal::Cont)?;
+            }
+            Fault::Pause => {
+                node.paused = true;
+                signal(node, Signal::Stop)?;
+            }
+            Fault::Kill => {
+                signal(node, Signal::Kill)?;
+                node.paused = false;
+                node.stopping = true;
+            }
+            Fault::Restart => {
+                node.stopping = true;
+                signal(node, Signal::Term)?;
+            }
+            Fault::Reload => signal(node, Signal::Hup)?,
+            Fault::Refuse(refuse) => member.door.refuse.store(refuse, Ordering::Relaxed),
+            Fault::StoreLink(mode) => *node.store.mode.lock() = mode,
+            Fault::UpstreamLink(mode) => *node.upstream.mode.lock() = mode,
+            Fault::Upstream(habit) => member.upstream.set(habit),
+        }
+        Ok(())
+    }
+}
+
+fn signal(node: &mut Node, signal: Signal) -> Result<()> {
+    if node.process.ended() {
+        return Ok(());
+    }
+    node.process.signal(signal).wrap_err("could not send a signal to a node")
+}
+
+/// Starts processes again that have ended.
+pub fn revive(nodes: &mut [Node]) -> Result<()> {
+    for node in nodes.iter_mut().filter(|node| node.stopping) {
+        if node.process.ended() {
+            node.process.restart().wrap_err("could not start a node again")?;
+            node.stopping = false;
+        }
+    }
+    Ok(())
+}
+
+/// Ends every fault.
+pub async fn heal(fleet: &Fleet, nodes: &mut [Node]) -> Result<()> {
+    for (member, node) in fleet.members.iter().zip(nodes.iter_mut()) {
+        member.door.refuse.store(false, Ordering::Relaxed);
+        member.upstream.set(Habit::Answers);
+        *node.store.mode.lock() = Mode::Pass;
+        *node.upstream.mode.lock() = Mode::Pass;
+        if node.paused {
+            node.paused = false;
+            signal(node, Signal::Cont)?;
+        }
+    }
+    while nodes.iter().any(|node| node.stopping) {
+        revive(nodes)?;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,7 @@
+//! Randomised runs of real processes on loopback, with faults injected from outside.
+
+pub mod callers;
+pub mod faults;
+pub mod ledger;
+pub mod proxy;
+pub mod run;
