Handle signals before anything else, and name a process that ended by itself

Change: the handlers are set first; the soak keeps a trace of its faults, reports a process that ended by itself, and sends no SIGHUP in the first 50 ms, before the program has begun.

--- a/crates/mesh/src/cmd/run.rs
+++ b/crates/mesh/src/cmd/run.rs
@@ -5,34 +5,49 @@
 use bbv_mesh::event::{self, Event};
 use bbv_mesh::settings::Settings;
 use eyre::{Result, WrapErr};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Signals that the process handles.
+struct Signals {
+    term: Signal,
+    hup: Signal,
+}
 
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
     let [path] = args else { return super::usage() };
-    bbv_mesh::logs::start();
-    let result = Settings::load(path).and_then(|settings| start(path, settings));
+    let result = start(path);
     bbv_mesh::logs::finish();
     super::report(result)
 }
 
-fn start(path: &str, settings: Settings) -> Result<()> {
+fn start(path: &str) -> Result<()> {
     // One thread: waking another one costs more than most of the work.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("could not start the runtime")?;
-    runtime.block_on(serve(path, settings))
+    // Signals first: one that comes before it is handled ends the process.
+    let signals = runtime.block_on(async { Signals::new() })?;
+    bbv_mesh::logs::start();
+    let settings = Settings::load(path)?;
+    runtime.block_on(serve(path, settings, signals))
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        let term = signal(SignalKind::terminate()).wrap_err("could not wait for SIGTERM")?;
+        let hup = signal(SignalKind::hangup()).wrap_err("could not wait for SIGHUP")?;
+        Ok(Signals { term, hup })
+    }
 }
 
-async fn serve(path: &str, settings: Settings) -> Result<()> {
-    let mut term = signal(SignalKind::terminate()).wrap_err("could not wait for SIGTERM")?;
-    let mut hup = signal(SignalKind::hangup()).wrap_err("could not wait for SIGHUP")?;
+async fn serve(path: &str, settings: Settings, mut signals: Signals) -> Result<()> {
     let running = bbv_mesh::start(settings.clone()).await?;
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => reload(path, &settings),
+            _ = signals.term.recv() => break,
+            _ = signals.hup.recv() => reload(path, &settings),
         }
     }
     running.stop().await;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,7 +6,7 @@
 use bbv_stand::fleet::Fleet;
 use bbv_stand::process::{Process, Signal};
 use bbv_stand::upstream::Habit;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, bail};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -47,6 +47,9 @@
     pub paused: bool,
 }
 
+/// Time in which a process that was started has begun to handle signals.
+const STARTING: Duration = Duration::from_millis(50);
+
 const HABITS: [Habit; 9] = [
     Habit::Answers,
     Habit::Hangs,
@@ -95,6 +98,8 @@
                 node.stopping = true;
                 signal(node, Signal::Term)?;
             }
+            // Before a program has begun, a signal that it handles still ends it.
+            Fault::Reload if node.process.age() < STARTING => {}
             Fault::Reload => signal(node, Signal::Hup)?,
             Fault::Refuse(refuse) => member.door.refuse.store(refuse, Ordering::Relaxed),
             Fault::StoreLink(mode) => *node.store.mode.lock() = mode,
@@ -112,9 +117,15 @@
     node.process.signal(signal).wrap_err("could not send a signal to a node")
 }
 
-/// Starts processes again that have ended.
+/// Starts processes again that have ended as they were told; fails on one that ended by itself.
 pub fn revive(nodes: &mut [Node]) -> Result<()> {
-    for node in nodes.iter_mut().filter(|node| node.stopping) {
+    for (at, node) in nodes.iter_mut().enumerate() {
+        if !node.stopping {
+            if let Some(status) = node.process.status() {
+                bail!("node {at} ended by itself: {status}");
+            }
+            continue;
+        }
         if node.process.ended() {
             node.process.restart().wrap_err("could not start a node again")?;
             node.stopping = false;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -66,9 +66,16 @@
             folder: PathBuf::from(&folder).join(seed.to_string()),
         };
         let runtime = tokio::runtime::Runtime::new().wrap_err("could not start the runtime")?;
-        let report = runtime.block_on(play(&plan))?;
-        println!("seed={seed} {report}");
-        good &= report.broken.is_empty();
+        match runtime.block_on(play(&plan)) {
+            Ok(report) => {
+                println!("seed={seed} {report}");
+                good &= report.broken.is_empty();
+            }
+            Err(error) => {
+                println!("seed={seed} failed={error:#?}");
+                good = false;
+            }
+        }
     }
     Ok(good)
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,8 @@
 //! One run: a fleet, callers, faults drawn from a seed, and the account at the end.
 
 use std::fmt;
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -139,13 +141,16 @@
     rng: &mut SmallRng,
 ) -> Result<usize> {
     let begun = Instant::now();
+    let mut trace = File::create(plan.folder.join("faults.log"))?;
     let mut faults = 0;
     let mut version = 1;
     while begun.elapsed() < plan.length {
         tokio::time::sleep(Duration::from_millis(rng.random_range(20..400))).await;
         faults::revive(nodes)?;
         let at = rng.random_range(0..nodes.len());
-        Fault::draw(rng).inject(fleet, at, &mut nodes[at])?;
+        let fault = Fault::draw(rng);
+        writeln!(trace, "at_ms={} node={at} fault={fault:?}", begun.elapsed().as_millis())?;
+        fault.inject(fleet, at, &mut nodes[at])?;
         faults += 1;
         if rng.random_bool(0.1) {
             version += rng.random_range(1..4);
