--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod history;
 pub mod id;
+pub mod index;
 pub mod limit;
 pub mod operation;
 pub mod outcome;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -226,20 +226,4 @@
         }
         due
     }
-
-    /// Upstreams of `service` that may get new work.
-    ///
-    /// ```
-    /// assert_eq!(bbv_core::view::View::default().usable("s").count(), 0);
-    /// ```
-    pub fn usable<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = (&'a Name, &'a Upstream)> {
-        self.upstreams.iter().filter(move |(_, upstream)| {
-            &*upstream.service == service
-                && !upstream.draining
-                && !self.out.contains(&upstream.zone)
-        })
-    }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -9,6 +9,7 @@
 use bbv_core::admission::{Admission, Step};
 use bbv_core::budget::Share;
 use bbv_core::history::History;
+use bbv_core::index::Index;
 use bbv_core::place::{Report, Target};
 use bbv_core::readers::Readers;
 use bbv_core::route::{Name, Splitter};
@@ -84,6 +85,7 @@
 
 pub(crate) struct State {
     pub view: View,
+    pub index: Index,
     pub admission: Admission,
     pub waiters: HashMap<u64, oneshot::Sender<Step>>,
     pub targets: BTreeMap<Name, Target>,
@@ -143,6 +145,7 @@
         let readers = Readers::new(u64::from(me), &settings.zone);
         let state = State {
             view: View::default(),
+            index: Index::default(),
             admission: Admission::new(SLOTS_UNKNOWN),
             waiters: HashMap::new(),
             targets: BTreeMap::new(),
@@ -303,7 +306,7 @@
 
     /// Whether the VM at `ip` is known to be in `zone`.
     pub fn same_zone(&self, ip: IpAddr, zone: &str) -> bool {
-        self.view.upstreams.values().any(|up| up.addr.ip() == ip && &*up.zone == zone)
+        self.index.zone(ip).is_some_and(|known| &**known == zone)
     }
 
     /// Upstream beside this node, as published.
@@ -317,6 +320,14 @@
 
     /// Applies the view to admission and forgets upstreams that are gone.
     fn settle(&mut self, settings: &Settings) {
+        self.index = Index::new(&self.view);
+        self.settle_own(settings);
+        let upstreams = &self.view.upstreams;
+        self.targets.retain(|id, _| upstreams.contains_key(id));
+    }
+
+    /// Applies what is known of the upstream beside this node to its admission.
+    fn settle_own(&mut self, settings: &Settings) {
         let entry = self.own_entry(settings).map(|(_, up)| (up.slots, up.draining));
         let service = settings.service.as_str();
         let limits = self.view.routing.as_ref().and_then(|routing| routing.services.get(service));
@@ -328,14 +339,12 @@
         let gone = entry.is_none() && self.own.listed;
         self.own.listed |= entry.is_some();
         self.admission.close(draining || gone || out || self.own.down);
-        let upstreams = &self.view.upstreams;
-        self.targets.retain(|id, _| upstreams.contains_key(id));
     }
 
     /// Applies a change of the state of the upstream beside this node.
     pub fn set_down(&mut self, settings: &Settings, down: bool) {
         self.own.down = down;
-        self.settle(settings);
+        self.settle_own(settings);
     }
 
     /// Load of the upstream beside this node.
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -173,15 +173,15 @@
         let state = self.lock();
         let own = self.settings.peers.ip();
         let zone = self.settings.zone.as_str();
-        let here = state.view.upstreams.values().filter(|up| &*up.zone == zone);
-        here.map(|up| up.addr.ip()).filter(|ip| *ip != own).collect()
+        let here = state.index.vms().filter(|(ip, known)| &***known == zone && *ip != own);
+        here.map(|(ip, _)| ip).collect()
     }
 
     fn random_peer(&self) -> Option<IpAddr> {
         let mut state = self.lock();
         let state = &mut *state;
         let own = self.settings.peers.ip();
-        let ips = state.view.upstreams.values().map(|up| up.addr.ip()).filter(|ip| *ip != own);
+        let ips = state.index.vms().map(|(ip, _)| ip).filter(|ip| *ip != own);
         ips.choose(&mut state.rng)
     }
 
@@ -206,7 +206,7 @@
         let peers: Vec<IpAddr> = {
             let state = self.lock();
             let own = self.settings.peers.ip();
-            let ips = state.view.usable(&self.settings.service).map(|(_, up)| up.addr.ip());
+            let ips = state.index.usable(&self.settings.service).iter().map(|(_, up)| up.addr.ip());
             ips.filter(|ip| *ip != own).collect()
         };
         self.send_to(socket, &peers, Some(crash));
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -213,7 +213,7 @@
         let target = (call.arrived + call.route.target).saturating_sub(now).max(MS);
         let kb_cost = self.settings.zone_kb_cost * usual.bytes / 1_024.0;
         let mut best: Option<(f64, Choice)> = None;
-        for (id, up) in state.view.usable(&call.service) {
+        for (id, up) in state.index.usable(&call.service) {
             if tried.contains(id) {
                 continue;
             }
