--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -154,6 +154,7 @@
     starts: VecDeque<Micros>,
     running: Vec<Running>,
     queue: Vec<Ask>,
+    evicted: Vec<u64>,
     knee: Knee,
     mean_run: f64,
 }
@@ -161,8 +162,6 @@
 impl Admission {
     /// Creates the admission of an upstream of which nothing is known yet.
     ///
-    /// It is taken to be cold until [`Admission::set_cold`] says more.
-    ///
     /// ```
     /// let admission = bbv_core::admission::Admission::new(9);
     /// assert_eq!(admission.running(), 0);
@@ -178,6 +177,7 @@
             starts: VecDeque::new(),
             running: Vec::new(),
             queue: Vec::new(),
+            evicted: Vec::new(),
             knee: Knee::default(),
             mean_run: (50 * MS) as f64,
         }
@@ -342,13 +342,22 @@
             self.start(now, ask);
             return Offer::Run;
         }
-        if self.queue.len() >= LINE_PER_SLOT * self.slots as usize {
+        let full = self.queue.len() >= LINE_PER_SLOT * self.slots as usize;
+        if full && !self.evict(ask.rank) {
             return Offer::Refuse(Refused { reason: Reason::Full, retry: wait.max(RETRY_MIN) });
         }
         self.queue.push(ask);
         Offer::Wait
     }
 
+    /// Gives up the last of the waiting requests that rank below `rank`, if there is one.
+    fn evict(&mut self, rank: u8) -> bool {
+        let last = self.queue.iter().enumerate().max_by_key(|(_, ask)| (ask.rank, ask.deadline));
+        let Some((at, _)) = last.filter(|(_, ask)| ask.rank > rank) else { return false };
+        self.evicted.push(self.queue.swap_remove(at).id);
+        true
+    }
+
     fn start(&mut self, now: Micros, ask: Ask) {
         let roomy = (f64::from(self.slots) * ROOMY_SHARE).floor() as usize;
         let crowded = self.running.len() >= roomy;
@@ -379,6 +388,7 @@
     pub fn cancel(&mut self, id: u64) {
         self.remove(id);
         self.queue.retain(|ask| ask.id != id);
+        self.evicted.retain(|evicted| *evicted != id);
     }
 
     fn remove(&mut self, id: u64) -> Option<Running> {
@@ -406,6 +416,8 @@
     fn refuse_waiting(&mut self, now: Micros, steps: &mut Vec<Step>) {
         let (closed, speed) = (self.closed, u64::from(self.speed_pct));
         let retry = self.backlog(now).max(RETRY_MIN);
+        let full = Refused { reason: Reason::Full, retry };
+        steps.extend(self.evicted.drain(..).map(|id| Step::Refuse(id, full)));
         self.queue.retain(|ask| {
             let late = now + ask.work * speed / 100 > ask.deadline;
             if closed || late {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -211,6 +211,8 @@
                 }
             }
         };
+        // A request of a lower rank may have lost its place.
+        self.pump();
         match self.timer.limit(arrived + ask.left, wake).await {
             Some(Ok(Step::Run(_))) => Ok(place),
             Some(Ok(Step::Refuse(_, why))) => refused(why),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -38,6 +38,8 @@
 const UPSTREAM_IDLE: Duration = Duration::from_secs(3);
 /// Slots taken for granted until the upstream's entry is known.
 const SLOTS_UNKNOWN: u32 = 4;
+/// Time from the start for which an upstream that does not answer health checks counts as cold.
+const COLD_UNKNOWN: Micros = 3 * SEC;
 /// Share of the fleet's budget of retries that the nodes use, since requests whose run was
 /// itself a retry call again.
 const BUDGET_USE: f64 = 0.5;
@@ -143,10 +145,13 @@
         let incarnation = rng.random();
         let me = vm_of(settings.peers.ip()).0;
         let readers = Readers::new(u64::from(me), &settings.zone);
+        let mut admission = Admission::new(SLOTS_UNKNOWN);
+        // The first health check tells whether the upstream really is cold.
+        admission.set_cold(COLD_UNKNOWN);
         let state = State {
             view: View::default(),
             index: Index::default(),
-            admission: Admission::new(SLOTS_UNKNOWN),
+            admission,
             waiters: HashMap::new(),
             targets: BTreeMap::new(),
             splitter: Splitter::default(),
