Spread news over the nodes that learn first

Change: a node that learns a revision tells six others at once; a node that is behind waits a little and asks a random one of those that know more.

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -12,6 +12,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::answer;
@@ -29,6 +30,9 @@
 const OWN_NEWS: Micros = 100 * MS;
 /// Time in which a peer answers.
 const PULL: Micros = 500 * MS;
+/// Wait before a question for each node of the fleet, and at most.
+const PULL_SPREAD: Micros = 2 * MS;
+const PULL_SPREAD_MAX: Micros = 200 * MS;
 /// Interval at which a node that does not read looks whether it should.
 const DECIDE: Micros = 100 * MS;
 /// Path at which nodes ask each other for what changed after a revision.
@@ -166,12 +170,11 @@
     }
 
     /// Asks a peer that knows more.
-    pub(crate) async fn pull(self: Arc<Self>, from: IpAddr) {
+    pub(crate) async fn pull(self: Arc<Self>) {
+        let wait = if self.reads() { OWN_NEWS } else { self.pull_wait() };
+        self.timer.sleep(wait).await;
         let before = self.revision();
-        if self.reads() {
-            self.timer.sleep(OWN_NEWS).await;
-        }
-        if self.revision() == before {
+        if let Some(from) = self.newer_peer() {
             let limit = self.now() + PULL;
             match self.timer.limit(limit, self.ask_news(from, before)).await {
                 Some(Ok(told)) => self.take_told(before, told),
@@ -184,6 +187,23 @@
         self.lock().pulling = false;
     }
 
+    /// Random wait that spreads the questions of a zone over the nodes that learn first.
+    fn pull_wait(&self) -> Micros {
+        let mut state = self.lock();
+        let most = (state.index.vms().count() as u64 * PULL_SPREAD).min(PULL_SPREAD_MAX);
+        state.rng.random_range(0..=most)
+    }
+
+    /// One of the nodes that said that they know more than this one; all are forgotten.
+    fn newer_peer(&self) -> Option<IpAddr> {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let through = state.view.through;
+        let newer = std::mem::take(&mut state.newer);
+        let newer = newer.into_iter().filter(|(_, revision)| *revision > through);
+        newer.map(|(ip, _)| ip).choose(&mut state.rng)
+    }
+
     fn take_told(&self, before: Revision, told: Told) {
         let now = self.now();
         self.lock().view.keep_for(now, told.keep);
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -15,7 +15,7 @@
 use bbv_core::route::{Name, Splitter};
 use bbv_core::spell::Spells;
 use bbv_core::suspect::Suspects;
-use bbv_core::units::{MS, Micros, SEC};
+use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_core::view::{Applied, View};
 use bbv_timer::Timer;
 use parking_lot::{Mutex, MutexGuard};
@@ -99,6 +99,8 @@
     pub recent: HashMap<IpAddr, Micros>,
     pub own: Own,
     pub pulling: bool,
+    /// Nodes that said that they know more.
+    pub newer: BTreeMap<IpAddr, Revision>,
     pub history: History,
     pub readers: Readers,
     pub store_away: bool,
@@ -162,6 +164,7 @@
             recent: HashMap::new(),
             own: Own::default(),
             pulling: false,
+            newer: BTreeMap::new(),
             history: History::default(),
             readers,
             store_away: true,
@@ -201,7 +204,7 @@
     }
 
     /// Revision up to which the node knows the fleet.
-    pub fn revision(&self) -> bbv_core::units::Revision {
+    pub fn revision(&self) -> Revision {
         self.lock().view.through
     }
 
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -7,7 +7,7 @@
 use bbv_core::place::Report;
 use bbv_core::suspect::Crash;
 use bbv_core::units::{MS, Micros, Revision};
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -60,6 +60,8 @@
     }
 }
 
+/// Nodes that a node tells of a revision that it has just learned.
+const FAN_OUT: usize = 6;
 /// Change of speed, in percent, that is worth a notice.
 const SPEED_STEP: u32 = 20;
 
@@ -123,6 +125,7 @@
         let mut near = Due::default();
         let mut far = Due::default();
         let mut told = Due::default();
+        let mut fanned: Revision = 0;
         let mut gossiped: Micros = 0;
         loop {
             let now = ticks.next().await.now;
@@ -132,12 +135,7 @@
             let crowded = report.backlog > 0;
             let (closed, stopping) = (report.closed, self.stopping());
             let key = (report.speed_pct / SPEED_STEP, closed, report.cold, crowded, stopping);
-            if self.reads() {
-                let revision = self.revision();
-                if told.due(now, (revision as u32, false, false, false, false), HEARTBEAT) {
-                    self.send_to(&socket, &self.zone_peers(), None);
-                }
-            }
+            self.tell_revision(&socket, now, &mut told, &mut fanned);
             if near.due(now, key, HEARTBEAT) {
                 self.send_to(&socket, &self.recent(now, true), None);
             }
@@ -168,6 +166,28 @@
         state.recent.keys().copied().filter(wanted).collect()
     }
 
+    /// Tells a few nodes of this zone of a new revision, so that all learn it in a few steps
+    /// and ask different nodes for it; a reader also tells all of them that it reads.
+    fn tell_revision(
+        &self,
+        socket: &UdpSocket,
+        now: Micros,
+        told: &mut Due,
+        fanned: &mut Revision,
+    ) {
+        let revision = self.revision();
+        if revision > *fanned {
+            *fanned = revision;
+            let mut peers = self.zone_peers();
+            peers.shuffle(&mut self.lock().rng);
+            peers.truncate(FAN_OUT);
+            self.send_to(socket, &peers, None);
+        }
+        if self.reads() && told.due(now, Urgent::default(), HEARTBEAT) {
+            self.send_to(socket, &self.zone_peers(), None);
+        }
+    }
+
     /// Nodes of this zone.
     fn zone_peers(&self) -> Vec<IpAddr> {
         let state = self.lock();
@@ -254,13 +274,17 @@
             if let Some(crash) = notice.crash {
                 state.suspects.report(now, crash);
             }
-            let behind = notice.revision > state.view.through && !state.pulling;
+            let newer = notice.revision > state.view.through;
+            if newer {
+                state.newer.insert(from, notice.revision);
+            }
+            let behind = newer && !state.pulling;
             state.pulling |= behind;
             behind
         };
         if behind {
             let node = Arc::clone(self);
-            tokio::spawn(async move { node.pull(from).await });
+            tokio::spawn(async move { node.pull().await });
         }
     }
 }
