--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -51,8 +51,6 @@
     UpstreamDown,
     /// The upstream names another instance than before.
     UpstreamInstance,
-    /// An answer of the upstream was lost or could not be used.
-    UpstreamLost,
     /// The upstream accepts connections again.
     UpstreamUp,
     /// What the node knows of the fleet changed.
@@ -60,7 +58,7 @@
 }
 
 /// All events, in the order of their numbers.
-pub const EVENTS: [Event; 24] = [
+pub const EVENTS: [Event; 23] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -82,7 +80,6 @@
     Event::UpstreamCrashed,
     Event::UpstreamDown,
     Event::UpstreamInstance,
-    Event::UpstreamLost,
     Event::UpstreamUp,
     Event::ViewChanged,
 ];
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -119,6 +119,7 @@
     pub(crate) socket: OnceLock<Arc<UdpSocket>>,
     next: AtomicU64,
     stopping: AtomicBool,
+    leaving: AtomicBool,
     closing: AtomicBool,
     state: Mutex<State>,
 }
@@ -181,6 +182,7 @@
             socket: OnceLock::new(),
             next: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             state: Mutex::new(state),
         })
@@ -213,6 +215,16 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Whether other nodes are to send their requests elsewhere.
+    pub(crate) fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Asks other nodes to send their requests elsewhere.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Whether the node takes no further work and only finishes what it has.
     pub(crate) fn closing(&self) -> bool {
         self.closing.load(Ordering::Relaxed)
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -104,7 +104,7 @@
         Notice {
             instance,
             incarnation: self.incarnation,
-            stopping: self.stopping(),
+            stopping: self.leaving(),
             reads,
             revision: state.view.through,
             running: report.running,
@@ -133,7 +133,7 @@
             self.expire(now);
             let report = self.lock().report(now);
             let crowded = report.backlog > 0;
-            let (closed, stopping) = (report.closed, self.stopping());
+            let (closed, stopping) = (report.closed, self.leaving());
             let key = (report.speed_pct / SPEED_STEP, closed, report.cold, crowded, stopping);
             self.tell_revision(&socket, now, &mut told, &mut fanned);
             if near.due(now, key, HEARTBEAT) {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -28,6 +28,8 @@
 const IDLE: Duration = Duration::from_secs(16);
 /// Time from SIGTERM until connections are closed: two missed readiness checks and a reserve.
 const UNREADY: Micros = 2_600 * MS;
+/// Time before that in which other nodes learn to go elsewhere; until then the gate serves them.
+const NOTICE: Micros = 300 * MS;
 /// Time that is kept back from the grace period for the end of the process.
 const STOP_RESERVE: Micros = 300 * MS;
 /// Interval at which a stopping node looks for requests that are still open.
@@ -87,7 +89,10 @@
         let last = begun + node.settings.grace.saturating_sub(STOP_RESERVE);
         event::info(Event::Stopping, &[("open", &node.open.load(Ordering::Relaxed))]);
         node.stop();
-        node.timer.sleep_until(last.min(begun + UNREADY)).await;
+        let close = last.min(begun + UNREADY);
+        node.timer.sleep_until(close.saturating_sub(NOTICE)).await;
+        node.leave();
+        node.timer.sleep_until(close).await;
         node.close();
         // Receivers are gone only when every listener has ended.
         let _ = self.closing.send(true);
