--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,6 +7,7 @@
 
 use std::collections::VecDeque;
 
+use crate::knee::Knee;
 use crate::units::{MS, Micros, SEC};
 
 /// A request that asks to run.
@@ -93,23 +94,8 @@
     crowded: bool,
 }
 
-/// Learns whether an upstream slows down when nearly all of its slots are taken.
-#[derive(Clone, Debug, Default)]
-struct Knee {
-    roomy: f64,
-    crowded: f64,
-    samples: u32,
-    capped_at: Option<Micros>,
-}
-
 /// Share of the slots up to which an upstream is taken to run at its usual speed.
 const ROOMY_SHARE: f64 = 0.8;
-/// Slow-down in a crowded upstream from which fewer slots serve more.
-const KNEE_RATIO: f64 = 1.25;
-const KNEE_GAIN: f64 = 0.05;
-const KNEE_SAMPLES: u32 = 12;
-/// Time after which the slots above the knee are tried again.
-const KNEE_RETEST: Micros = 20 * SEC;
 /// Gain of the mean time that a request runs.
 const RUN_GAIN: f64 = 0.1;
 /// Waiting requests per slot; a longer line is not served in time at any usual deadline.
@@ -121,27 +107,6 @@
 /// Shortest time named to a caller that is to come back.
 const RETRY_MIN: Micros = 20 * MS;
 
-impl Knee {
-    fn learn(&mut self, now: Micros, crowded: bool, ratio: f64) {
-        let mean = if crowded { &mut self.crowded } else { &mut self.roomy };
-        if *mean == 0.0 {
-            *mean = ratio;
-        }
-        *mean += (ratio - *mean) * KNEE_GAIN;
-        self.samples += u32::from(crowded);
-        let slower = self.roomy > 0.0 && self.crowded > KNEE_RATIO * self.roomy;
-        if crowded && self.samples >= KNEE_SAMPLES && slower {
-            self.capped_at = Some(now);
-            self.samples = 0;
-            self.crowded = 0.0;
-        }
-    }
-
-    fn capped(&self, now: Micros) -> bool {
-        self.capped_at.is_some_and(|at| now < at + KNEE_RETEST)
-    }
-}
-
 /// Admission control of one upstream.
 #[derive(Clone, Debug)]
 pub struct Admission {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod history;
 pub mod id;
 pub mod index;
+mod knee;
 pub mod limit;
 pub mod operation;
 pub mod outcome;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,11 +14,13 @@
 mod metrics;
 mod node;
 mod notice;
+mod peer;
 mod pool;
 mod probe;
 mod send;
 mod server;
 pub mod settings;
+mod state;
 
 pub use node::Node;
 pub use server::{Running, start};
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -12,7 +12,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -61,9 +60,6 @@
     idle_limit: Duration,
 }
 
-/// Interval and number of the kernel's probes on a connection that is silent.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-const KEEPALIVE_PROBES: u32 = 2;
 /// Idle connections kept for one address.
 const IDLE_MAX: usize = 64;
 
@@ -116,7 +112,7 @@
         let stream = timeout(self.connect, TcpStream::connect(addr)).await;
         let stream = stream.map_err(|_| format!("no connection within {:?}", self.connect))?;
         let stream = stream.map_err(|error| error.to_string())?;
-        tune(&stream).map_err(|error| error.to_string())?;
+        bbv_net::tune(&stream).map_err(|error| error.to_string())?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|error| describe(&error))?;
         let driver = tokio::spawn(async move {
@@ -151,15 +147,3 @@
         None => error.to_string(),
     }
 }
-
-/// Sets the options that every connection has: no delay, and probes when it is silent.
-pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(KEEPALIVE_PROBES);
-    let socket = SockRef::from(stream);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(KEEPALIVE * (KEEPALIVE_PROBES + 1)))
-}
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -1,16 +1,14 @@
 //! Sends a request to one upstream after another until it has an answer.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bbv_core::admission::Reason;
 use bbv_core::place;
-use bbv_core::route::{Name, Route};
+use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros};
-use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Body;
 use rand::Rng;
 
 use crate::answer;
@@ -18,25 +16,13 @@
 use crate::gate::Ran;
 use crate::ingress::{Call, Outcome, RETRY_UNKNOWN};
 use crate::message::{Ask, Ended, Reply};
-use crate::node::{Node, Peer, SILENT, SILENT_FAR, State, Usual};
+use crate::node::Node;
 use crate::pool::SendError;
 
-/// Work expected of a route of which nothing is known yet.
-const WORK_UNKNOWN: f64 = 50_000.0;
-const BYTES_UNKNOWN: f64 = 2_000.0;
-/// Gain of the means of work and bytes.
-const USUAL_GAIN: f64 = 0.1;
 /// Gates that may refuse one request before it is refused to its caller.
 const REFUSALS_MAX: usize = 4;
-/// Time for which an unreachable gate is left out; it doubles with each failure in a row.
-const AVOID_UNREACHABLE: Micros = 500 * MS;
-const AVOID_DOUBLINGS: u32 = 4;
 /// Time for which a gate that refused is left out, at most.
 const AVOID_REFUSING: Micros = 30 * MS;
-/// Way there and back that is expected until it was measured.
-const LINK_NEAR: Micros = MS;
-const LINK_FAR: Micros = 10 * MS;
-const LINK_GAIN: u64 = 8;
 /// Spread of choices between upstreams that are nearly equal, so that ingresses do not
 /// all send to one.
 const JITTER: f64 = 0.03;
@@ -209,7 +195,7 @@
         let now = self.now();
         let mut state = self.lock();
         let state = &mut *state;
-        let usual = usual(state, &call.route);
+        let usual = state.usual(&call.route);
         let target = (call.arrived + call.route.target).saturating_sub(now).max(MS);
         let kb_cost = self.settings.zone_kb_cost * usual.bytes / 1_024.0;
         let mut best: Option<(f64, Choice)> = None;
@@ -221,13 +207,13 @@
             let near = *up.zone == *self.settings.zone;
             let peer = state.peers.get(&up.addr.ip()).copied().unwrap_or_default();
             let known = state.targets.get(id).cloned().unwrap_or_default();
-            let link = if mine { 0 } else { expected_link(&peer, near) };
+            let link = if mine { 0 } else { peer.expected_link(near) };
             let cost = known.cost(now, usual.work as Micros, up.slots, link);
             let mut loss = place::loss(cost, target);
             if !near {
                 loss += kb_cost;
             }
-            let missing = !mine && (peer.stopping || silent(&peer, near, now));
+            let missing = !mine && (peer.stopping || peer.silent(now, near));
             if missing || known.closed(now) || known.avoided(now) {
                 loss += LAST_CHOICE;
             }
@@ -293,7 +279,7 @@
             peer.heard = peer.heard.max(now);
         }
         let way = peer.link / 2;
-        let work = usual(&state, &call.route).work as Micros;
+        let work = state.usual(&call.route).work as Micros;
         Ask {
             instance: choice.instance.to_string(),
             left: call.deadline.saturating_sub(now + way),
@@ -364,49 +350,3 @@
         }
     }
 }
-
-impl Peer {
-    fn learn_link(&mut self, link: Micros) {
-        self.link = match self.link {
-            0 => link,
-            held => held - held / LINK_GAIN + link / LINK_GAIN,
-        };
-    }
-}
-
-impl State {
-    fn learn_unreachable(&mut self, now: Micros, instance: &Name, ip: IpAddr) {
-        let peer = self.peers.entry(ip).or_default();
-        let longer = peer.unreachable.min(AVOID_DOUBLINGS);
-        peer.unreachable += 1;
-        let target = self.targets.entry(instance.clone()).or_default();
-        target.avoid(now + (AVOID_UNREACHABLE << longer));
-    }
-
-    fn learn_usual(&mut self, route: &Route, work: Micros, response: &Response<Full<Bytes>>) {
-        let bytes = response.body().size_hint().lower() as f64;
-        let held = usual(self, route);
-        let work = held.work + (work as f64 - held.work) * USUAL_GAIN;
-        let bytes = held.bytes + (bytes - held.bytes) * USUAL_GAIN;
-        self.usual.insert(route.name.clone(), Usual { work, bytes });
-    }
-}
-
-fn expected_link(peer: &Peer, near: bool) -> Micros {
-    match peer.link {
-        0 if near => LINK_NEAR,
-        0 => LINK_FAR,
-        link => link,
-    }
-}
-
-/// Whether nothing was heard of a node for too long after a request to it.
-fn silent(peer: &Peer, near: bool, now: Micros) -> bool {
-    let silence = if near { SILENT } else { SILENT_FAR };
-    peer.heard + silence < now && peer.asked > peer.heard
-}
-
-fn usual(state: &State, route: &Route) -> Usual {
-    let unknown = Usual { work: WORK_UNKNOWN.min(route.target as f64 / 2.0), bytes: BYTES_UNKNOWN };
-    state.usual.get(&route.name).copied().unwrap_or(unknown)
-}
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -21,7 +21,6 @@
 use crate::answer;
 use crate::event::{self, Event};
 use crate::node::Node;
-use crate::pool;
 use crate::settings::Settings;
 
 /// Time for which a caller's connection may be idle.
@@ -138,7 +137,7 @@
     from: SocketAddr,
     mut closed: watch::Receiver<bool>,
 ) {
-    if let Err(error) = pool::tune(&stream) {
+    if let Err(error) = bbv_net::tune(&stream) {
         event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
     }
     let ip = from.ip();
--- /dev/null
+++ b/crates/mesh/src/state.rs
@@ -0,0 +1,231 @@
+//! State that the parts of a node share, behind one lock.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
+
+use bbv_core::admission::{Admission, Step};
+use bbv_core::budget::Share;
+use bbv_core::history::History;
+use bbv_core::index::Index;
+use bbv_core::place::{Report, Target};
+use bbv_core::readers::Readers;
+use bbv_core::route::{Name, Route, Splitter};
+use bbv_core::spell::Spells;
+use bbv_core::suspect::Suspects;
+use bbv_core::units::{MS, Micros, Revision, SEC};
+use bbv_core::view::{Upstream, View};
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Body;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+
+use crate::notice::vm_of;
+use crate::peer::Peer;
+use crate::settings::Settings;
+
+/// Slots taken for granted until the upstream's entry is known.
+const SLOTS_UNKNOWN: u32 = 4;
+/// Time from the start for which an upstream that does not answer health checks counts as cold.
+const COLD_UNKNOWN: Micros = 3 * SEC;
+/// Share of the fleet's budget of retries that the nodes use, since requests whose run was
+/// itself a retry call again.
+const BUDGET_USE: f64 = 0.5;
+
+/// Work expected of a route of which nothing is known yet.
+const WORK_UNKNOWN: f64 = 50_000.0;
+const BYTES_UNKNOWN: f64 = 2_000.0;
+/// Gain of the means of work and bytes.
+const USUAL_GAIN: f64 = 0.1;
+/// Time for which an unreachable gate is left out; it doubles with each failure in a row.
+const AVOID_UNREACHABLE: Micros = 500 * MS;
+const AVOID_DOUBLINGS: u32 = 4;
+
+/// What requests of one route are like.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usual {
+    /// Time that one runs at usual speed.
+    pub work: f64,
+    /// Bytes of an answer.
+    pub bytes: f64,
+}
+
+/// What is known of the upstream beside this node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Own {
+    /// Its instance, as it names itself.
+    pub instance: Option<Name>,
+    /// Whether this instance was listed.
+    pub listed: bool,
+    /// Whether it refuses connections.
+    pub down: bool,
+    /// Time of its newest report of its load.
+    pub reported: Micros,
+    /// Spells in which it is slow.
+    pub spells: Spells,
+}
+
+/// State that the parts of a node share.
+pub(crate) struct State {
+    /// What is published.
+    pub view: View,
+    /// Index of the view.
+    pub index: Index,
+    /// Admission to the upstream beside this node.
+    pub admission: Admission,
+    /// Requests that wait for it, by number.
+    pub waiters: HashMap<u64, oneshot::Sender<Step>>,
+    /// Load of other upstreams, by instance.
+    pub targets: BTreeMap<Name, Target>,
+    /// Shares of routes with several services.
+    pub splitter: Splitter,
+    /// What requests are like, by route.
+    pub usual: HashMap<Name, Usual>,
+    /// Budgets of retries, by service.
+    pub budgets: HashMap<Name, Share>,
+    /// Requests that crashed upstreams.
+    pub suspects: Suspects,
+    /// Other nodes, by address.
+    pub peers: HashMap<IpAddr, Peer>,
+    /// Nodes that sent requests lately.
+    pub recent: HashMap<IpAddr, Micros>,
+    /// The upstream beside this node.
+    pub own: Own,
+    /// Whether a peer is being asked for news.
+    pub pulling: bool,
+    /// Nodes that said that they know more.
+    pub newer: BTreeMap<IpAddr, Revision>,
+    /// Recent changes, for peers that are behind.
+    pub history: History,
+    /// Who reads the store.
+    pub readers: Readers,
+    /// Whether the last call to the store failed.
+    pub store_away: bool,
+    /// Randomness of choices.
+    pub rng: SmallRng,
+}
+
+impl State {
+    /// State of a node that knows nothing yet.
+    pub fn new(settings: &Settings, mut rng: SmallRng) -> (Self, u64) {
+        let incarnation = rng.random();
+        let me = vm_of(settings.peers.ip()).0;
+        let mut admission = Admission::new(SLOTS_UNKNOWN);
+        // The first health check tells whether the upstream really is cold.
+        admission.set_cold(COLD_UNKNOWN);
+        let state = State {
+            view: View::default(),
+            index: Index::default(),
+            admission,
+            waiters: HashMap::new(),
+            targets: BTreeMap::new(),
+            splitter: Splitter::default(),
+            usual: HashMap::new(),
+            budgets: HashMap::new(),
+            suspects: Suspects::default(),
+            peers: HashMap::new(),
+            recent: HashMap::new(),
+            own: Own::default(),
+            pulling: false,
+            newer: BTreeMap::new(),
+            history: History::default(),
+            readers: Readers::new(u64::from(me), &settings.zone),
+            store_away: true,
+            rng,
+        };
+        (state, incarnation)
+    }
+
+    /// Budget of retries to `service`.
+    pub fn budget(&mut self, settings: &Settings, service: &Name) -> &mut Share {
+        let nodes = self.view.upstreams.len().max(1) as f64;
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            let burst = (settings.retry_burst * BUDGET_USE / nodes).max(1.0);
+            Share::new(settings.retry_share * BUDGET_USE, burst)
+        })
+    }
+
+    /// Whether the VM at `ip` is known to be in `zone`.
+    pub fn same_zone(&self, ip: IpAddr, zone: &str) -> bool {
+        self.index.zone(ip).is_some_and(|known| &**known == zone)
+    }
+
+    /// Upstream beside this node, as published.
+    pub fn own_entry(&self, settings: &Settings) -> Option<(&Name, &Upstream)> {
+        let here = |upstream: &&Upstream| upstream.addr == settings.upstream;
+        match &self.own.instance {
+            Some(id) => self.view.upstreams.get_key_value(id).filter(|(_, up)| here(up)),
+            None => self.view.upstreams.iter().find(|(_, up)| here(up)),
+        }
+    }
+
+    /// Applies the view to admission and forgets upstreams that are gone.
+    pub fn settle(&mut self, settings: &Settings) {
+        self.index = Index::new(&self.view);
+        self.settle_own(settings);
+        let upstreams = &self.view.upstreams;
+        self.targets.retain(|id, _| upstreams.contains_key(id));
+    }
+
+    /// Applies what is known of the upstream beside this node to its admission.
+    fn settle_own(&mut self, settings: &Settings) {
+        let entry = self.own_entry(settings).map(|(_, up)| (up.slots, up.draining));
+        let service = settings.service.as_str();
+        let limits = self.view.routing.as_ref().and_then(|routing| routing.services.get(service));
+        let cold_rate = limits.map_or(f64::INFINITY, |limits| limits.cold_rate);
+        let out = self.view.out.contains(settings.zone.as_str());
+        let (slots, draining) =
+            entry.as_ref().map_or((SLOTS_UNKNOWN, false), |(slots, draining)| (*slots, *draining));
+        self.admission.set_limits(slots, cold_rate);
+        let gone = entry.is_none() && self.own.listed;
+        self.own.listed |= entry.is_some();
+        self.admission.close(draining || gone || out || self.own.down);
+    }
+
+    /// Applies a change of the state of the upstream beside this node.
+    pub fn set_down(&mut self, settings: &Settings, down: bool) {
+        self.own.down = down;
+        self.settle_own(settings);
+    }
+
+    /// Load of the upstream beside this node.
+    pub fn report(&self, now: Micros) -> Report {
+        Report {
+            running: self.admission.running(),
+            queued: self.admission.queued(),
+            limit: self.admission.limit(now),
+            speed_pct: self.admission.speed_pct(),
+            spell: self.own.spells.remaining(now).unwrap_or(0),
+            backlog: self.admission.backlog(now),
+            closed: self.admission.closed(),
+            cold: self.admission.cold(now),
+        }
+    }
+
+    /// Leaves an upstream out whose gate could not be connected.
+    pub fn learn_unreachable(&mut self, now: Micros, instance: &Name, ip: IpAddr) {
+        let peer = self.peers.entry(ip).or_default();
+        let longer = peer.unreachable.min(AVOID_DOUBLINGS);
+        peer.unreachable += 1;
+        let target = self.targets.entry(instance.clone()).or_default();
+        target.avoid(now + (AVOID_UNREACHABLE << longer));
+    }
+
+    /// Learns what requests of a route are like.
+    pub fn learn_usual(&mut self, route: &Route, work: Micros, response: &Response<Full<Bytes>>) {
+        let bytes = response.body().size_hint().lower() as f64;
+        let held = self.usual(route);
+        let work = held.work + (work as f64 - held.work) * USUAL_GAIN;
+        let bytes = held.bytes + (bytes - held.bytes) * USUAL_GAIN;
+        self.usual.insert(route.name.clone(), Usual { work, bytes });
+    }
+
+    /// What requests of `route` are like.
+    pub fn usual(&self, route: &Route) -> Usual {
+        let work = WORK_UNKNOWN.min(route.target as f64 / 2.0);
+        let unknown = Usual { work, bytes: BYTES_UNKNOWN };
+        self.usual.get(&route.name).copied().unwrap_or(unknown)
+    }
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -28,7 +28,7 @@
     let mut kept: Option<TcpStream> = None;
     while !stop.load(Ordering::Relaxed) {
         let number = next.fetch_add(1, Ordering::Relaxed);
-        let idempotent = number % 2 == 0;
+        let idempotent = number.is_multiple_of(2);
         let id = format!("{name}-{number}");
         let (method, path) = if idempotent { ("GET", "/get/1") } else { ("POST", "/post/1") };
         let ms = DEADLINE.as_millis() as u64;
