--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -163,8 +163,8 @@
         for now in (0..5 * SEC).step_by(MS as usize) {
             play.step(now, took);
             // Load comes in waves, so that roomy and crowded times are both seen.
-            let gap = if now / SEC % 2 == 0 { 4 } else { 12 };
-            if now / MS % gap == 0 {
+            let gap = if (now / SEC).is_multiple_of(2) { 4 } else { 12 };
+            if (now / MS).is_multiple_of(gap) {
                 id += 1;
                 play.offer(now, ask(now, id, 1), took);
             }
@@ -230,7 +230,7 @@
 fn readers_are_few_and_replaced() {
     let mut nodes: BTreeMap<u64, Readers> =
         (1..=20).map(|id| (id, Readers::new(id, "z"))).collect();
-    let mut play = |nodes: &mut BTreeMap<u64, Readers>, from: Micros, until: Micros| {
+    let play = |nodes: &mut BTreeMap<u64, Readers>, from: Micros, until: Micros| {
         for now in (from..until).step_by(100 * MS as usize) {
             let reading: Vec<u64> =
                 nodes.iter().filter(|(_, node)| node.reading()).map(|(id, _)| *id).collect();
