Use the field's terms for what nodes exchange, and drop fields that nothing reads

Cause: a reader of the diff stumbled over Told, What, News and bare tuples; a request's idempotency and a node's incarnation travelled without use.

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -26,8 +26,8 @@
 /// Pauses after a call to the store that failed.
 const BACKOFF_MIN: Micros = 100 * MS;
 const BACKOFF_MAX: Micros = 1_000 * MS;
-/// Time in which the own watch brings news before a peer is asked for it.
-const OWN_NEWS: Micros = 100 * MS;
+/// Time in which the own watch brings changes before a peer is asked for them.
+const WATCH_HEAD_START: Micros = 100 * MS;
 /// Time in which a peer answers.
 const PULL: Micros = 500 * MS;
 /// Wait before a question for each node of the fleet, and at most.
@@ -36,30 +36,30 @@
 /// Interval at which a node that does not read looks whether it should.
 const DECIDE: Micros = 100 * MS;
 /// Path at which nodes ask each other for what changed after a revision.
-const NEWS: &str = "/bbv/news";
+const CHANGES: &str = "/bbv/changes";
 
 /// Changes that follow the revision asked about.
 #[derive(Debug, Deserialize, Serialize)]
-struct News {
+struct Delta {
     through: Revision,
     changes: Vec<Change>,
 }
 
 /// What a node tells one that is behind.
 #[derive(Debug, Deserialize, Serialize)]
-struct Told {
+struct SyncReply {
     /// Time for which upstreams whose entries expired in an outage are kept.
     keep: Micros,
-    what: What,
+    content: Content,
 }
 
-/// The part of it that differs.
+/// Changes, or everything.
 #[derive(Debug, Deserialize, Serialize)]
-enum What {
+enum Content {
     /// What changed.
-    News(News),
+    Delta(Delta),
     /// Everything, since the changes are no longer known.
-    All(View),
+    Snapshot(View),
 }
 
 impl Node {
@@ -144,15 +144,15 @@
     }
 
     fn take_changes(&self, after: Revision, changes: Changes) {
-        self.take_news(
+        self.apply_delta(
             "store",
             after,
-            &News { through: changes.through, changes: changes.changes },
+            &Delta { through: changes.through, changes: changes.changes },
         );
     }
 
     /// Applies changes that follow revision `after`, unless more was learned meanwhile.
-    fn take_news(&self, source: &str, after: Revision, news: &News) {
+    fn apply_delta(&self, source: &str, after: Revision, delta: &Delta) {
         let now = self.now();
         let applied: Vec<Applied> = {
             let mut state = self.lock();
@@ -160,9 +160,9 @@
             if state.view.through != after {
                 return;
             }
-            state.view.through = news.through.max(after);
-            state.history.extend(&news.changes);
-            let updates = news.changes.iter().map(|change| change.update.clone());
+            state.view.through = delta.through.max(after);
+            state.history.extend(&delta.changes);
+            let updates = delta.changes.iter().map(|change| change.update.clone());
             let applied = updates.map(|update| state.view.apply(now, update));
             applied.filter(|applied| *applied != Applied::Same).collect()
         };
@@ -171,13 +171,13 @@
 
     /// Asks a peer that knows more.
     pub(crate) async fn pull(self: Arc<Self>) {
-        let wait = if self.reads() { OWN_NEWS } else { self.pull_wait() };
+        let wait = if self.reads() { WATCH_HEAD_START } else { self.pull_wait() };
         self.timer.sleep(wait).await;
         let before = self.revision();
         if let Some(from) = self.newer_peer() {
             let limit = self.now() + PULL;
-            match self.timer.limit(limit, self.ask_news(from, before)).await {
-                Some(Ok(told)) => self.take_told(before, told),
+            match self.timer.limit(limit, self.fetch_changes(from, before)).await {
+                Some(Ok(reply)) => self.apply_reply(before, reply),
                 Some(Err(why)) => {
                     event::info(Event::PullFailed, &[("from", &from), ("why", &why)]);
                 }
@@ -204,12 +204,12 @@
         newer.map(|(ip, _)| ip).choose(&mut state.rng)
     }
 
-    fn take_told(&self, before: Revision, told: Told) {
+    fn apply_reply(&self, before: Revision, reply: SyncReply) {
         let now = self.now();
-        self.lock().view.keep_for(now, told.keep);
-        match told.what {
-            What::News(news) => self.take_news("peer", before, &news),
-            What::All(view) => {
+        self.lock().view.keep_for(now, reply.keep);
+        match reply.content {
+            Content::Delta(delta) => self.apply_delta("peer", before, &delta),
+            Content::Snapshot(view) => {
                 let applied = {
                     let mut state = self.lock();
                     let applied = state.view.adopt(now, view);
@@ -222,9 +222,9 @@
         }
     }
 
-    async fn ask_news(&self, from: IpAddr, since: Revision) -> Result<Told, String> {
+    async fn fetch_changes(&self, from: IpAddr, since: Revision) -> Result<SyncReply, String> {
         let gate = SocketAddr::new(from, self.settings.peers.port());
-        let request = Request::get(format!("{NEWS}?since={since}"));
+        let request = Request::get(format!("{CHANGES}?since={since}"));
         let request = request.header(http::header::HOST, gate.to_string());
         let request = request.body(Full::new(Bytes::new())).map_err(|error| error.to_string())?;
         let sent = self.peer_pool.send(gate, request).await;
@@ -235,22 +235,22 @@
     }
 
     /// Answers a peer that asks what this node knows.
-    pub(crate) fn serve_news(&self, head: &Parts) -> Response<Full<Bytes>> {
+    pub(crate) fn serve_changes(&self, head: &Parts) -> Response<Full<Bytes>> {
         let since = head.uri.query().and_then(|query| query.strip_prefix("since="));
         let since = since.and_then(|text| text.parse::<Revision>().ok());
-        let (NEWS, Some(since)) = (head.uri.path(), since) else {
+        let (CHANGES, Some(since)) = (head.uri.path(), since) else {
             return answer::own(StatusCode::NOT_FOUND, "not-a-peer-request");
         };
-        let told = {
+        let reply = {
             let now = self.now();
             let state = self.lock();
-            let what = match state.history.since(since) {
-                Some(changes) => What::News(News { through: state.view.through, changes }),
-                None => What::All(state.view.clone()),
+            let content = match state.history.since(since) {
+                Some(changes) => Content::Delta(Delta { through: state.view.through, changes }),
+                None => Content::Snapshot(state.view.clone()),
             };
-            Told { keep: state.view.keep_left(now), what }
+            SyncReply { keep: state.view.keep_left(now), content }
         };
-        match serde_json::to_vec(&told) {
+        match serde_json::to_vec(&reply) {
             Ok(body) => Response::new(Full::new(Bytes::from(body))),
             Err(error) => {
                 event::warn(Event::PullFailed, &[("to", &"peer"), ("why", &error)]);
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -316,7 +316,7 @@
     ) -> Response<Full<Bytes>> {
         let _open = Open::new(self);
         let (mut head, body) = request.into_parts();
-        let Some(ask) = Ask::take(&mut head.headers) else { return self.serve_news(&head) };
+        let Some(ask) = Ask::take(&mut head.headers) else { return self.serve_changes(&head) };
         let body = match body.collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -26,8 +26,6 @@
     pub rank: u8,
     /// Time that it is expected to run at usual speed.
     pub work: Micros,
-    /// Whether it may run more than once.
-    pub idempotent: bool,
     /// Whether it is to be run here even if the upstream is slow.
     pub firm: bool,
     /// Fingerprint of method, path and body.
@@ -126,13 +124,12 @@
 impl Ask {
     /// Writes it into a request.
     pub fn write(&self, headers: &mut HeaderMap) {
-        let (idempotent, firm) = (u8::from(self.idempotent), u8::from(self.firm));
+        let firm = u8::from(self.firm);
         let value = join(&[
             &self.left,
             &self.target,
             &self.rank,
             &self.work,
-            &idempotent,
             &firm,
             &self.print,
             &self.instance,
@@ -154,7 +151,6 @@
             target: values.next()?,
             rank: values.next()?,
             work: values.next()?,
-            idempotent: values.flag()?,
             firm: values.flag()?,
             print: values.next()?,
             instance: values.next()?,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -34,7 +34,6 @@
     pub(crate) metrics: Metrics,
     pub(crate) peer_pool: Pool,
     pub(crate) upstream_pool: Pool,
-    pub(crate) incarnation: u64,
     pub(crate) open: AtomicU64,
     pub(crate) socket: OnceLock<Arc<UdpSocket>>,
     next: AtomicU64,
@@ -64,14 +63,13 @@
 impl Node {
     /// Creates a node; [`crate::start`] runs it.
     pub(crate) fn new(settings: Settings) -> Arc<Self> {
-        let (state, incarnation) = State::new(&settings, SmallRng::from_os_rng());
+        let state = State::new(&settings, SmallRng::from_os_rng());
         Arc::new(Node {
             settings,
             timer: Timer::real(),
             metrics: Metrics::new(),
             peer_pool: Pool::new(CONNECT, PEER_IDLE),
             upstream_pool: Pool::new(CONNECT, UPSTREAM_IDLE),
-            incarnation,
             open: AtomicU64::new(0),
             socket: OnceLock::new(),
             next: AtomicU64::new(1),
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -30,7 +30,6 @@
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 struct Notice {
     instance: String,
-    incarnation: u64,
     stopping: bool,
     reads: bool,
     revision: Revision,
@@ -65,22 +64,30 @@
 /// Change of speed, in percent, that is worth a notice.
 const SPEED_STEP: u32 = 20;
 
-/// What a notice tells that cannot wait: step of the speed, closed, cold, crowded, stopping.
-type Urgent = (u32, bool, bool, bool, bool);
+/// What a notice tells that cannot wait.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Urgent {
+    /// Time that work takes, in steps of [`SPEED_STEP`].
+    speed: u32,
+    closed: bool,
+    cold: bool,
+    crowded: bool,
+    stopping: bool,
+}
 
 /// When the next notice is due.
 #[derive(Default)]
 struct Due {
-    told: Option<Urgent>,
+    sent: Option<Urgent>,
     at: Micros,
 }
 
 impl Due {
     fn due(&mut self, now: Micros, urgent: Urgent, period: Micros) -> bool {
-        if self.told == Some(urgent) && now < self.at + period {
+        if self.sent == Some(urgent) && now < self.at + period {
             return false;
         }
-        self.told = Some(urgent);
+        self.sent = Some(urgent);
         self.at = now;
         true
     }
@@ -103,7 +110,6 @@
         let instance = state.own.instance.as_deref().unwrap_or_default().to_owned();
         Notice {
             instance,
-            incarnation: self.incarnation,
             stopping: self.leaving(),
             reads,
             revision: state.view.through,
@@ -124,22 +130,28 @@
         let mut ticks = self.timer.every(TICK);
         let mut near = Due::default();
         let mut far = Due::default();
-        let mut told = Due::default();
-        let mut fanned: Revision = 0;
+        let mut reading = Due::default();
+        let mut announced: Revision = 0;
         let mut gossiped: Micros = 0;
         loop {
             let now = ticks.next().await.now;
             self.pump();
             self.expire(now);
             let report = self.lock().report(now);
-            let crowded = report.backlog > 0;
             let (closed, stopping) = (report.closed, self.leaving());
-            let key = (report.speed_pct / SPEED_STEP, closed, report.cold, crowded, stopping);
-            self.tell_revision(&socket, now, &mut told, &mut fanned);
-            if near.due(now, key, HEARTBEAT) {
+            let urgent = Urgent {
+                speed: report.speed_pct / SPEED_STEP,
+                closed,
+                cold: report.cold,
+                crowded: report.backlog > 0,
+                stopping,
+            };
+            let urgent_far = Urgent { closed, stopping, ..Urgent::default() };
+            self.announce_revision(&socket, now, &mut reading, &mut announced);
+            if near.due(now, urgent, HEARTBEAT) {
                 self.send_to(&socket, &self.recent(now, true), None);
             }
-            if far.due(now, (0, closed, false, false, stopping), FAR_HEARTBEAT) {
+            if far.due(now, urgent_far, FAR_HEARTBEAT) {
                 self.send_to(&socket, &self.recent(now, false), None);
             }
             if now >= gossiped + GOSSIP {
@@ -168,22 +180,22 @@
 
     /// Tells a few nodes of this zone of a new revision, so that all learn it in a few steps
     /// and ask different nodes for it; a reader also tells all of them that it reads.
-    fn tell_revision(
+    fn announce_revision(
         &self,
         socket: &UdpSocket,
         now: Micros,
-        told: &mut Due,
-        fanned: &mut Revision,
+        reading: &mut Due,
+        announced: &mut Revision,
     ) {
         let revision = self.revision();
-        if revision > *fanned {
-            *fanned = revision;
+        if revision > *announced {
+            *announced = revision;
             let mut peers = self.zone_peers();
             peers.shuffle(&mut self.lock().rng);
             peers.truncate(FAN_OUT);
             self.send_to(socket, &peers, None);
         }
-        if self.reads() && told.due(now, Urgent::default(), HEARTBEAT) {
+        if self.reads() && reading.due(now, Urgent::default(), HEARTBEAT) {
             self.send_to(socket, &self.zone_peers(), None);
         }
     }
@@ -222,7 +234,7 @@
     }
 
     /// Tells the nodes of this service of a crash.
-    pub(crate) fn tell_crash(&self, socket: &UdpSocket, crash: Crash) {
+    pub(crate) fn notify_crash(&self, socket: &UdpSocket, crash: Crash) {
         let peers: Vec<IpAddr> = {
             let state = self.lock();
             let own = self.settings.peers.ip();
@@ -260,7 +272,6 @@
             peer.stopping = notice.stopping;
             // It lives, so that a connection may be tried again at once.
             let returned = std::mem::take(&mut peer.unreachable) > 0;
-            peer.incarnation = notice.incarnation;
             if state.same_zone(from, &self.settings.zone) {
                 let reads = notice.reads && !notice.stopping;
                 state.readers.heard(now, u64::from(vm_of(from).0), reads);
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -9,8 +9,6 @@
     pub heard: Micros,
     /// Whether it stops.
     pub stopping: bool,
-    /// Number of its process.
-    pub incarnation: u64,
     /// Time for the way there and back; zero if unknown.
     pub link: Micros,
     /// Time of the newest request to it.
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -124,7 +124,7 @@
             let print = format!("{print:016x}");
             event::warn(Event::UpstreamCrashed, &[("print", &print), ("new", &new)]);
             if let (true, Some(socket)) = (new, node.socket.get()) {
-                node.tell_crash(socket, crash);
+                node.notify_crash(socket, crash);
             }
         });
     }
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -195,9 +195,9 @@
         let now = self.now();
         let mut state = self.lock();
         let state = &mut *state;
-        let usual = state.usual(&call.route);
+        let profile = state.profile(&call.route);
         let target = (call.arrived + call.route.target).saturating_sub(now).max(MS);
-        let kb_cost = self.settings.zone_kb_cost * usual.bytes / 1_024.0;
+        let kb_cost = self.settings.zone_kb_cost * profile.bytes / 1_024.0;
         let mut best: Option<(f64, Choice)> = None;
         for (id, up) in state.index.usable(&call.service) {
             if tried.contains(id) {
@@ -208,7 +208,7 @@
             let peer = state.peers.get(&up.addr.ip()).copied().unwrap_or_default();
             let known = state.targets.get(id).cloned().unwrap_or_default();
             let link = if mine { 0 } else { peer.expected_link(near) };
-            let cost = known.cost(now, usual.work as Micros, up.slots, link);
+            let cost = known.cost(now, profile.work as Micros, up.slots, link);
             let mut loss = place::loss(cost, target);
             if !near {
                 loss += kb_cost;
@@ -279,14 +279,13 @@
             peer.heard = peer.heard.max(now);
         }
         let way = peer.link / 2;
-        let work = state.usual(&call.route).work as Micros;
+        let work = state.profile(&call.route).work as Micros;
         Ask {
             instance: choice.instance.to_string(),
             left: call.deadline.saturating_sub(now + way),
             target: (call.arrived + call.route.target).saturating_sub(now + way),
             rank: call.route.rank,
             work,
-            idempotent: call.route.idempotent,
             firm,
             print: call.print,
         }
@@ -346,7 +345,7 @@
         peer.unreachable = 0;
         peer.learn_link((now - sent).saturating_sub(reply.held));
         if let Tried::Ran(Ran { response: Some(response), .. }) = tried {
-            state.learn_usual(&call.route, reply.work, response);
+            state.learn_profile(&call.route, reply.work, response);
         }
     }
 }
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -38,7 +38,7 @@
 
 /// Listener of a node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Door {
+enum Listener {
     Callers,
     Peers,
     Operators,
@@ -56,16 +56,16 @@
     let node = Node::new(settings);
     let settings = &node.settings;
     let (closing, closed) = watch::channel(false);
-    let mut doors = vec![
-        (Door::Operators, settings.readiness),
-        (Door::Peers, settings.peers),
-        (Door::Callers, settings.callers),
+    let mut listeners = vec![
+        (Listener::Operators, settings.readiness),
+        (Listener::Peers, settings.peers),
+        (Listener::Callers, settings.callers),
     ];
-    doors.extend(settings.metrics.map(|addr| (Door::Operators, addr)));
-    for (door, addr) in doors {
+    listeners.extend(settings.metrics.map(|addr| (Listener::Operators, addr)));
+    for (kind, addr) in listeners {
         let listener = TcpListener::bind(addr).await;
         let listener = listener.wrap_err_with(|| format!("could not listen on {addr}"))?;
-        tokio::spawn(accept(Arc::clone(&node), door, listener, closed.clone()));
+        tokio::spawn(accept(Arc::clone(&node), kind, listener, closed.clone()));
     }
     let notices = settings.notices;
     let socket = UdpSocket::bind(notices).await;
@@ -104,18 +104,18 @@
 
 async fn accept(
     node: Arc<Node>,
-    door: Door,
+    kind: Listener,
     listener: TcpListener,
     mut closed: watch::Receiver<bool>,
 ) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = until_closed(&mut closed), if door == Door::Callers => return,
+            () = until_closed(&mut closed), if kind == Listener::Callers => return,
         };
         match accepted {
             Ok((stream, from)) => {
-                tokio::spawn(serve(Arc::clone(&node), door, stream, from, closed.clone()));
+                tokio::spawn(serve(Arc::clone(&node), kind, stream, from, closed.clone()));
             }
             Err(error) => {
                 event::warn(Event::AcceptFailed, &[("why", &error)]);
@@ -132,7 +132,7 @@
 
 async fn serve(
     node: Arc<Node>,
-    door: Door,
+    kind: Listener,
     stream: TcpStream,
     from: SocketAddr,
     mut closed: watch::Receiver<bool>,
@@ -143,7 +143,7 @@
     let ip = from.ip();
     let service = service_fn(move |request| {
         let node = Arc::clone(&node);
-        async move { Ok::<_, Infallible>(answer(&node, door, ip, request).await) }
+        async move { Ok::<_, Infallible>(answer(&node, kind, ip, request).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -152,7 +152,7 @@
     let mut conn = std::pin::pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
-        () = until_closed(&mut closed), if door == Door::Callers => {
+        () = until_closed(&mut closed), if kind == Listener::Callers => {
             conn.as_mut().graceful_shutdown();
             conn.await
         }
@@ -164,14 +164,14 @@
 
 async fn answer(
     node: &Arc<Node>,
-    door: Door,
+    kind: Listener,
     from: IpAddr,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    match door {
-        Door::Callers => node.serve_caller(request).await,
-        Door::Peers => node.serve_peer(from, request).await,
-        Door::Operators => operators(node, request.uri().path()),
+    match kind {
+        Listener::Callers => node.serve_caller(request).await,
+        Listener::Peers => node.serve_peer(from, request).await,
+        Listener::Operators => operators(node, request.uri().path()),
     }
 }
 
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -18,7 +18,6 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Body;
-use rand::Rng;
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
@@ -38,14 +37,14 @@
 const WORK_UNKNOWN: f64 = 50_000.0;
 const BYTES_UNKNOWN: f64 = 2_000.0;
 /// Gain of the means of work and bytes.
-const USUAL_GAIN: f64 = 0.1;
+const PROFILE_GAIN: f64 = 0.1;
 /// Time for which an unreachable gate is left out; it doubles with each failure in a row.
 const AVOID_UNREACHABLE: Micros = 500 * MS;
 const AVOID_DOUBLINGS: u32 = 4;
 
 /// What requests of one route are like.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Usual {
+pub(crate) struct Profile {
     /// Time that one runs at usual speed.
     pub work: f64,
     /// Bytes of an answer.
@@ -82,7 +81,7 @@
     /// Shares of routes with several services.
     pub splitter: Splitter,
     /// What requests are like, by route.
-    pub usual: HashMap<Name, Usual>,
+    pub profiles: HashMap<Name, Profile>,
     /// Budgets of retries, by service.
     pub budgets: HashMap<Name, Share>,
     /// Requests that crashed upstreams.
@@ -109,20 +108,19 @@
 
 impl State {
     /// State of a node that knows nothing yet.
-    pub fn new(settings: &Settings, mut rng: SmallRng) -> (Self, u64) {
-        let incarnation = rng.random();
+    pub fn new(settings: &Settings, rng: SmallRng) -> Self {
         let me = vm_of(settings.peers.ip()).0;
         let mut admission = Admission::new(SLOTS_UNKNOWN);
         // The first health check tells whether the upstream really is cold.
         admission.set_cold(COLD_UNKNOWN);
-        let state = State {
+        State {
             view: View::default(),
             index: Index::default(),
             admission,
             waiters: HashMap::new(),
             targets: BTreeMap::new(),
             splitter: Splitter::default(),
-            usual: HashMap::new(),
+            profiles: HashMap::new(),
             budgets: HashMap::new(),
             suspects: Suspects::default(),
             peers: HashMap::new(),
@@ -134,8 +132,7 @@
             readers: Readers::new(u64::from(me), &settings.zone),
             store_away: true,
             rng,
-        };
-        (state, incarnation)
+        }
     }
 
     /// Budget of retries to `service`.
@@ -214,18 +211,18 @@
     }
 
     /// Learns what requests of a route are like.
-    pub fn learn_usual(&mut self, route: &Route, work: Micros, response: &Response<Full<Bytes>>) {
+    pub fn learn_profile(&mut self, route: &Route, work: Micros, response: &Response<Full<Bytes>>) {
         let bytes = response.body().size_hint().lower() as f64;
-        let held = self.usual(route);
-        let work = held.work + (work as f64 - held.work) * USUAL_GAIN;
-        let bytes = held.bytes + (bytes - held.bytes) * USUAL_GAIN;
-        self.usual.insert(route.name.clone(), Usual { work, bytes });
+        let held = self.profile(route);
+        let work = held.work + (work as f64 - held.work) * PROFILE_GAIN;
+        let bytes = held.bytes + (bytes - held.bytes) * PROFILE_GAIN;
+        self.profiles.insert(route.name.clone(), Profile { work, bytes });
     }
 
     /// What requests of `route` are like.
-    pub fn usual(&self, route: &Route) -> Usual {
+    pub fn profile(&self, route: &Route) -> Profile {
         let work = WORK_UNKNOWN.min(route.target as f64 / 2.0);
-        let unknown = Usual { work, bytes: BYTES_UNKNOWN };
-        self.usual.get(&route.name).copied().unwrap_or(unknown)
+        let unknown = Profile { work, bytes: BYTES_UNKNOWN };
+        self.profiles.get(&route.name).copied().unwrap_or(unknown)
     }
 }
