Forget an outage when a node leaves reading to others

Change: a node that does not read holds no outage; its first call as a reader does not wait, so that it also says at once that it reads. Measured: the new test fails before (requests reach the upstream that is gone, twice of two) and holds after (three of three runs).

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -70,15 +70,19 @@
         let mut backoff = BACKOFF_MIN;
         let mut listed = false;
         let mut away = false;
+        let mut answered = false;
         loop {
             let now = self.now();
             if listed && !self.lock().readers.decide(now) {
+                // Those who read tell when an outage that began here is over.
+                away = false;
+                answered = false;
                 self.timer.sleep(DECIDE).await;
                 continue;
             }
             let after = self.lock().view.through;
-            // After an outage a call that does not wait tells at once that it is over.
-            let wait = if away { Duration::ZERO } else { WATCH };
+            // A first call that does not wait tells at once whether the store answers.
+            let wait = if answered { WATCH } else { Duration::ZERO };
             let result = if listed { store.watch(after, wait).await } else { store.list().await };
             self.count(&result);
             match result {
@@ -89,6 +93,7 @@
                         self.lock().view.platform_returned(now);
                     }
                     backoff = BACKOFF_MIN;
+                    answered = true;
                     self.lock().store_away = false;
                     if listed {
                         self.take_changes(after, changes)
@@ -108,6 +113,7 @@
                         event::warn(Event::StoreLost, &[("revision", &after), ("why", &error)]);
                     }
                     away = true;
+                    answered = false;
                     self.lock().store_away = true;
                     let jitter = self.lock().rng.random_range(0..=backoff);
                     self.timer.sleep(backoff / 2 + jitter).await;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -138,7 +138,7 @@
     }
 
     /// Whether this node watches the store and gets answers.
-    pub(crate) fn reads(&self) -> bool {
+    pub fn reads(&self) -> bool {
         let state = self.lock();
         state.readers.reading() && !state.store_away
     }
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -127,3 +127,41 @@
     assert!(begun.elapsed() >= Duration::from_millis(3_000), "it waits for the run");
     assert_eq!(sent.await.expect("the caller waits").status, 200);
 }
+
+/// A node that lost the store, and then left reading to others, does not take the outage to
+/// end only when it reads again.
+#[tokio::test]
+async fn outage_ends_for_a_node_that_stops_reading() {
+    let fleet = Fleet::start(&["z", "z", "z"]).await;
+    let reads = |at: usize| fleet.members[at].running.as_ref().is_some_and(|it| it.node.reads());
+    let refuse = |at: usize, on: bool| fleet.members[at].door.refuse.store(on, Ordering::Relaxed);
+    let weight = |at: &usize| match fleet.members[*at].ip {
+        std::net::IpAddr::V4(ip) => bbv_core::rank::weight(b"z", u64::from(u32::from(ip))),
+        std::net::IpAddr::V6(_) => 0,
+    };
+    let mut ranked = [0, 1, 2];
+    ranked.sort_by_key(weight);
+    let [last, first, second] = ranked;
+    (0..3).for_each(|at| refuse(at, true));
+    // Long enough for each node to try.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    refuse(first, false);
+    refuse(second, false);
+    until("the better two read", || reads(first) && reads(second)).await;
+    // Longer than the last node pauses between two calls.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    refuse(last, false);
+    refuse(first, true);
+    refuse(second, true);
+    until("the last node reads", || reads(last)).await;
+    let gone = first;
+    fleet.store.remove(&format!("servers/i-{gone}"));
+    let newest = fleet.store.revision();
+    let node = &fleet.members[last].running.as_ref().expect("it runs").node;
+    until("the last node knows", || node.revision() >= newest).await;
+    let before = fleet.members[gone].upstream.runs();
+    for at in 0..20 {
+        fleet.get(last, "/get/1", &format!("id-{at}")).await;
+    }
+    assert_eq!(fleet.members[gone].upstream.runs(), before);
+}
