Apply the callers' limits of the routing in force

Cause: connections of callers were closed after 16 s whatever the routing said, and heads of any size were read. Where the idle timeout is longer, callers would have met closed connections. Change: the server takes idle timeout and largest head from the routing in force when a connection opens. Before: both tests of tests/limits.rs fail. After: both pass. The time for a head is covered by the idle timeout only, since one timer serves both.

--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -23,8 +23,11 @@
 use crate::node::Node;
 use crate::settings::Settings;
 
-/// Time for which a caller's connection may be idle.
+/// Time for which a connection of another node or of an operator may be idle; longer than
+/// nodes keep one.
 const IDLE: Duration = Duration::from_secs(16);
+/// Smallest bound on a request head that the server accepts.
+const HEAD_MIN: usize = 8_192;
 /// Time from SIGTERM until connections are closed: two missed readiness checks and a reserve.
 const UNREADY: Micros = 2_600 * MS;
 /// Time before that in which other nodes learn to go elsewhere; until then the gate serves them.
@@ -141,14 +144,12 @@
         event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
     }
     let ip = from.ip();
+    let builder = builder(&node, kind);
     let service = service_fn(move |request| {
         let node = Arc::clone(&node);
         async move { Ok::<_, Infallible>(answer(&node, kind, ip, request).await) }
     });
-    let conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
-        .serve_connection(TokioIo::new(stream), service);
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
@@ -162,6 +163,20 @@
     }
 }
 
+/// Server of one connection, with the limits in force when it was accepted.
+fn builder(node: &Node, kind: Listener) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    // Covers the wait for the next request and the time until its head is complete.
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    let limits = node.lock().view.routing.as_ref().map(|routing| routing.limits);
+    if let (Listener::Callers, Some(limits)) = (kind, limits) {
+        let idle = limits.idle.max(limits.head_time);
+        builder.header_read_timeout(Duration::from_micros(idle));
+        builder.max_buf_size(limits.head.max(HEAD_MIN));
+    }
+    builder
+}
+
 async fn answer(
     node: &Arc<Node>,
     kind: Listener,
