Learn the knee from runs at the speed at which they began

Cause: a gate compares how long requests run in a crowded and in a roomy upstream. It took the time since a slot was taken, which includes the wait for the end of a slow spell, and corrected it by the speed at the end, although an upstream runs a request to its end at the speed at which it began. Ruled out: the retry budget, the queue's bound, and calls let in behind other requests.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -335,16 +335,19 @@
 
     /// Records that a request ended with an answer, and learns from it.
     ///
+    /// `ran` is the time that it would have run at usual speed. An upstream runs a request to
+    /// its end at the speed at which it began.
+    ///
     /// ```
-    /// bbv_core::admission::Admission::new(9).finish(0, 1);
+    /// bbv_core::admission::Admission::new(9).finish(0, 1, 20_000);
     /// ```
-    pub fn finish(&mut self, now: Micros, id: u64) {
+    pub fn finish(&mut self, now: Micros, id: u64, ran: Micros) {
         let Some(run) = self.remove(id) else { return };
         let took = now.saturating_sub(run.since) as f64;
         let usual = took * 100.0 / f64::from(self.speed_pct);
         self.mean_run += (usual - self.mean_run) * RUN_GAIN;
         if run.work > 0 && !self.cold(now) {
-            self.knee.learn(now, run.crowded, usual / run.work as f64);
+            self.knee.learn(now, run.crowded, ran as f64 / run.work as f64);
         }
     }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -15,6 +15,7 @@
 /// One upstream behind admission, played millisecond by millisecond.
 struct Play {
     admission: Admission,
+    began: BTreeMap<u64, Micros>,
     ends: BTreeMap<u64, Micros>,
     asks: BTreeMap<u64, Ask>,
     started: Vec<(Micros, u8)>,
@@ -29,6 +30,7 @@
     fn new(admission: Admission) -> Self {
         Play {
             admission,
+            began: BTreeMap::new(),
             ends: BTreeMap::new(),
             asks: BTreeMap::new(),
             started: Vec::new(),
@@ -44,6 +46,7 @@
         let rank = self.asks[&id].rank;
         self.started.push((now, rank));
         self.most = self.most.max(self.admission.running());
+        self.began.insert(id, now);
         self.ends.insert(id, now + took(self.admission.running()));
     }
 
@@ -52,7 +55,8 @@
             self.ends.iter().filter(|(_, end)| **end <= now).map(|(id, _)| *id).collect();
         for id in done {
             self.ends.remove(&id);
-            self.admission.finish(now, id);
+            let began = self.began.remove(&id).unwrap_or(now);
+            self.admission.finish(now, id, now - began);
             let ask = self.asks[&id];
             self.served[ask.rank as usize] += 1;
             self.late += usize::from(now > ask.deadline);
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -52,11 +52,11 @@
 }
 
 impl Place {
-    /// Gives the place back after an answer.
-    fn finish(mut self) {
+    /// Gives the place back after an answer that took `work` at usual speed.
+    fn finish(mut self, work: Micros) {
         self.finished = true;
         let now = self.node.now();
-        self.node.lock().admission.finish(now, self.id);
+        self.node.lock().admission.finish(now, self.id, work);
         self.node.pump();
     }
 }
@@ -170,9 +170,9 @@
             None => End::lost(Ended::Expired, "no answer at the deadline".to_owned()),
             Some(Err(end)) => end,
             Some(Ok(response)) => {
-                let took = self.now() - started;
-                place.finish();
-                End::answered(response, took * 100 / speed)
+                let work = (self.now() - started) * 100 / speed;
+                place.finish(work);
+                End::answered(response, work)
             }
         }
     }
