Let requests wait for the end of a slow spell as long as they fit at usual speed

Cause: a gate that held a request for the end of a slow spell gave up as soon as the request did not fit at the slow speed, and then started it slowly, so that it was late for certain. Change: it waits while the request still fits at usual speed; the decision moved to bbv_core::spell.

--- a/crates/core/src/spell.rs
+++ b/crates/core/src/spell.rs
@@ -74,4 +74,18 @@
         let extra = work * u64::from(self.speed_pct.saturating_sub(100)) / 100;
         self.remaining(now).is_some_and(|remaining| extra > remaining)
     }
+
+    /// Whether a request with `work` at usual speed that must end by `latest` waits for `step`
+    /// more before it starts.
+    ///
+    /// ```
+    /// let mut spells = bbv_core::spell::Spells::default();
+    /// spells.observe(0, 500);
+    /// assert!(spells.may_wait(0, 100_000, 150_000, 20_000));
+    /// assert!(!spells.may_wait(0, 100_000, 110_000, 20_000));
+    /// ```
+    pub fn may_wait(&self, now: Micros, work: Micros, latest: Micros, step: Micros) -> bool {
+        let late = now + step + work > latest;
+        self.worth_waiting(now, work) && !late
+    }
 }
--- a/crates/core/tests/noise.rs
+++ b/crates/core/tests/noise.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bbv_core::admission::{Admission, Ask, Offer, Step};
+use bbv_core::spell::Spells;
 use bbv_core::units::{MS, Micros, SEC};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -114,3 +115,31 @@
         assert!(below > 0.5, "seed {seed}: fewer than all slots for only {below} of the time");
     }
 }
+
+/// A request that does not fit at the speed of a slow spell waits for its end as long as it
+/// fits at usual speed, since it is late for certain if it starts at once.
+#[test]
+fn request_that_fits_only_at_usual_speed_waits_for_it() {
+    const STEP: Micros = 20 * MS;
+    const ROUNDS: usize = 2_000;
+    let mut rng = SmallRng::seed_from_u64(3);
+    let speeds: Vec<u32> =
+        (0..30_000).map(|_| if rng.random_bool(0.35) { 500 } else { 100 }).collect();
+    let speed = |now: Micros| speeds[(now / SPELL) as usize];
+    let (work, left) = (110 * MS, 450 * MS);
+    let mut in_time = 0;
+    let mut spells = Spells::default();
+    for round in 0..ROUNDS {
+        let arrived = (round + 1) as Micros * SEC + rng.random_range(0..SPELL);
+        for now in (arrived - 500 * MS..=arrived).step_by(STEP as usize) {
+            spells.observe(now, speed(now));
+        }
+        let mut start = arrived;
+        while spells.may_wait(start, work, arrived + left, STEP) {
+            start += STEP;
+            spells.observe(start, speed(start));
+        }
+        in_time += usize::from(start + work * u64::from(speed(start)) / 100 <= arrived + left);
+    }
+    assert!(in_time * 10 >= ROUNDS * 9, "{in_time} of {ROUNDS} in time");
+}
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -232,17 +232,16 @@
                 self.check().await;
             }
             let now = self.now();
-            let remaining = {
-                let state = self.lock();
-                let waits = state.own.spells.worth_waiting(now, ask.work);
-                waits.then(|| state.own.spells.remaining(now)).flatten()?
+            let (remaining, may_wait) = {
+                let spells = &self.lock().own.spells;
+                let pays = spells.worth_waiting(now, ask.work);
+                let remaining = pays.then(|| spells.remaining(now)).flatten()?;
+                (remaining, spells.may_wait(now, ask.work, latest, HOLD_STEP))
             };
             if !ask.firm {
                 return Some(remaining);
             }
-            let late =
-                now + HOLD_STEP + ask.work * u64::from(self.lock().admission.speed_pct()) / 100;
-            if late > latest {
+            if !may_wait {
                 return None;
             }
             self.timer.sleep(HOLD_STEP).await;
