Keep the fleet's bound on retries at any size

Cause: each node may hold one retry at least, and what was earned never expired. A fleet larger than half of the slack could so send more at once than the bound allows: 300 nodes, calm, a pause, and one second in which all fails gave 300 retries where 230 are allowed. The share of the budget that is kept for calls of retried runs had no test. Change: bbv_core::retries; what was earned fades within the window, which is a setting now. Tests: crates/core/tests/retries.rs, both bounds for 10 to 2,000 nodes; the first failed before, the second fails with three quarters of the budget in use.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ramp;
 pub mod rank;
 pub mod readers;
+pub mod retries;
 pub mod route;
 pub mod spell;
 pub mod spread;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -194,12 +194,14 @@
 
     /// Records a first request to `service`, which earns a share of a retry.
     pub(crate) fn earn(&self, service: &Name) {
-        self.lock().budget(&self.settings, service).earn();
+        let now = self.now();
+        self.lock().earn_retry(now, &self.settings, service);
     }
 
     /// Takes one retry to `service` from the budget.
     pub(crate) fn may_retry(&self, service: &Name) -> bool {
-        let allowed = self.lock().budget(&self.settings, service).spend();
+        let now = self.now();
+        let allowed = self.lock().spend_retry(now, &self.settings, service);
         if allowed {
             self.metrics.retries.inc();
         }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bbv_core::catalogue::{Faults, Reader, read};
+use bbv_core::retries::Bound;
 use bbv_core::units::{Micros, SEC};
 use eyre::{WrapErr, eyre};
 
@@ -29,10 +30,8 @@
     pub platform: SocketAddr,
     /// Time from SIGTERM to the end of the process at the latest.
     pub grace: Micros,
-    /// Retries per request that all nodes together may send.
-    pub retry_share: f64,
-    /// Retries beyond that share that all nodes together may send.
-    pub retry_burst: f64,
+    /// Retries that all nodes together may send.
+    pub retries: Bound,
     /// Loss that a kilobyte between zones is worth, as a share of a request.
     pub zone_kb_cost: f64,
     /// Address for metrics, if they have one of their own.
@@ -41,11 +40,10 @@
 
 const GRACE_S: f64 = 6.0;
 const GRACE_MAX_S: f64 = 3_600.0;
-const RETRY_SHARE: f64 = 0.1;
-const RETRY_BURST: f64 = 10.0;
 const ZONE_KB_COST: f64 = 0.2;
 const ZONE_KB_COST_MAX: f64 = 100.0;
 const RETRY_BURST_MAX: f64 = 1e6;
+const RETRY_WINDOW_MAX_S: f64 = 3_600.0;
 
 fn addr(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{text} is not an IP address with a port"))
@@ -66,6 +64,16 @@
     }
 }
 
+fn retries(root: &mut Reader<'_>) -> Bound {
+    let held = Bound::default();
+    let window = root.optional_float("retry_window_s", 0.0..=RETRY_WINDOW_MAX_S);
+    Bound {
+        ratio: root.optional_float("retry_share", 0.0..=1.0).unwrap_or(held.ratio),
+        slack: root.optional_float("retry_burst", 0.0..=RETRY_BURST_MAX).unwrap_or(held.slack),
+        window: window.map_or(held.window, |window| (window * SEC as f64) as Micros),
+    }
+}
+
 impl Default for Settings {
     /// Settings with every default, on no address.
     fn default() -> Self {
@@ -81,8 +89,7 @@
             notices: none,
             platform: none,
             grace: (GRACE_S * SEC as f64) as Micros,
-            retry_share: RETRY_SHARE,
-            retry_burst: RETRY_BURST,
+            retries: Bound::default(),
             zone_kb_cost: ZONE_KB_COST,
             metrics: None,
         }
@@ -110,10 +117,7 @@
             platform: parse_addr(root, "platform"),
             grace: (root.optional_float("grace_s", 0.0..=GRACE_MAX_S).unwrap_or(GRACE_S)
                 * SEC as f64) as Micros,
-            retry_share: root.optional_float("retry_share", 0.0..=1.0).unwrap_or(RETRY_SHARE),
-            retry_burst: root
-                .optional_float("retry_burst", 0.0..=RETRY_BURST_MAX)
-                .unwrap_or(RETRY_BURST),
+            retries: retries(root),
             zone_kb_cost: root
                 .optional_float("zone_kb_cost", 0.0..=ZONE_KB_COST_MAX)
                 .unwrap_or(ZONE_KB_COST),
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -4,11 +4,11 @@
 use std::net::IpAddr;
 
 use bbv_core::admission::{Admission, Step};
-use bbv_core::budget::Share;
 use bbv_core::history::History;
 use bbv_core::index::Index;
 use bbv_core::place::{Report, Target};
 use bbv_core::readers::Readers;
+use bbv_core::retries::Retries;
 use bbv_core::route::{Name, Route, Splitter};
 use bbv_core::spell::Spells;
 use bbv_core::suspect::Suspects;
@@ -29,10 +29,6 @@
 const SLOTS_UNKNOWN: u32 = 4;
 /// Time from the start for which an upstream that does not answer health checks counts as cold.
 const COLD_UNKNOWN: Micros = 3 * SEC;
-/// Share of the fleet's budget of retries that the nodes use, since requests whose run was
-/// itself a retry call again.
-const BUDGET_USE: f64 = 0.5;
-
 /// Work expected of a route of which nothing is known yet.
 const WORK_UNKNOWN: f64 = 50_000.0;
 const BYTES_UNKNOWN: f64 = 2_000.0;
@@ -83,7 +79,7 @@
     /// What requests are like, by route.
     pub profiles: HashMap<Name, Profile>,
     /// Budgets of retries, by service.
-    pub budgets: HashMap<Name, Share>,
+    pub budgets: HashMap<Name, Retries>,
     /// Requests that crashed upstreams.
     pub suspects: Suspects,
     /// Other nodes, by address.
@@ -136,12 +132,20 @@
     }
 
     /// Budget of retries to `service`.
-    pub fn budget(&mut self, settings: &Settings, service: &Name) -> &mut Share {
-        let nodes = self.view.upstreams.len().max(1) as f64;
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            let burst = (settings.retry_burst * BUDGET_USE / nodes).max(1.0);
-            Share::new(settings.retry_share * BUDGET_USE, burst)
-        })
+    fn budget(&mut self, settings: &Settings, service: &Name) -> &mut Retries {
+        let budget = || Retries::new(settings.retries);
+        self.budgets.entry(service.clone()).or_insert_with(budget)
+    }
+
+    /// Records a first request to `service`, which earns a share of a retry.
+    pub fn earn_retry(&mut self, now: Micros, settings: &Settings, service: &Name) {
+        let nodes = self.view.upstreams.len();
+        self.budget(settings, service).earn(now, nodes);
+    }
+
+    /// Takes one retry to `service` from the budget, or returns false.
+    pub fn spend_retry(&mut self, now: Micros, settings: &Settings, service: &Name) -> bool {
+        self.budget(settings, service).spend(now)
     }
 
     /// Whether the VM at `ip` is known to be in `zone`.
