Check cold upstreams and routing that goes back in the soak

Cause: the soak had no check of the cold bound and none of a routing that goes back, and turned no upstream cold.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,6 +1,7 @@
 //! Faults that a seed draws, and how they are injected.
 
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bbv_stand::fleet::Fleet;
@@ -31,6 +32,8 @@
     UpstreamLink(Mode),
     /// The upstream changes its habit.
     Upstream(Habit),
+    /// The upstream is cold for a while.
+    Cold,
 }
 
 /// One node with the ways around it.
@@ -45,8 +48,12 @@
     pub stopping: bool,
     /// Whether the process is paused.
     pub paused: bool,
+    /// Number that changes whenever the process ends or starts.
+    pub starts: Arc<AtomicU64>,
 }
 
+/// Time for which an upstream is cold.
+const COLD: Duration = Duration::from_secs(2);
 /// Time in which a process that was started has begun to handle signals.
 const STARTING: Duration = Duration::from_millis(50);
 
@@ -90,6 +97,7 @@
                 signal(node, Signal::Stop)?;
             }
             Fault::Kill => {
+                node.starts.fetch_add(1, Ordering::SeqCst);
                 signal(node, Signal::Kill)?;
                 node.paused = false;
                 node.stopping = true;
@@ -105,6 +113,7 @@
             Fault::StoreLink(mode) => *node.store.mode.lock() = mode,
             Fault::UpstreamLink(mode) => *node.upstream.mode.lock() = mode,
             Fault::Upstream(habit) => member.upstream.set(habit),
+            Fault::Cold => member.upstream.turn_cold(COLD),
         }
         Ok(())
     }
@@ -127,6 +136,7 @@
             continue;
         }
         if node.process.ended() {
+            node.starts.fetch_add(1, Ordering::SeqCst);
             node.process.restart().wrap_err("could not start a node again")?;
             node.stopping = false;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bbv_stand::client;
-use bbv_stand::fleet::{Fleet, config};
+use bbv_stand::fleet::Fleet;
 use bbv_stand::process::Process;
 use bbv_stand::upstream::Seen;
 use eyre::{Result, WrapErr, bail};
@@ -18,9 +18,11 @@
 use rand::{Rng, SeedableRng};
 
 use crate::callers;
+use crate::cold;
 use crate::faults::{self, Fault, Node};
 use crate::ledger::Ledger;
 use crate::proxy::Proxy;
+use crate::versions::{Watch, marker};
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -67,6 +69,9 @@
 /// Port behind the proxy that stands at the upstream's address.
 const BEHIND: u16 = 21_006;
 const CALLERS_PER_NODE: usize = 3;
+/// Share of the faults that come with an upstream that turns cold.
+const COLD_SHARE: f64 = 0.12;
+const COLD_STREAM: u64 = 0xc01d;
 /// Time in which a fleet without faults serves and knows everything again.
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Time that a published change takes at most to be in force in calm.
@@ -86,8 +91,10 @@
     until_served(&fleet).await?;
     let ledger = Arc::new(Ledger::default());
     let stop = Arc::new(AtomicBool::new(false));
-    let callers = start_callers(&fleet, &ledger, &stop);
-    let faults = disturb(plan, &fleet, &mut nodes, &mut rng).await?;
+    let newest = Arc::new(AtomicU64::new(1));
+    let mut callers = start_callers(&fleet, &ledger, &stop);
+    callers.extend(start_watches(&fleet, &nodes, &ledger, &newest, &stop));
+    let faults = disturb(plan, &fleet, &mut nodes, &newest, &mut rng).await?;
     faults::heal(&fleet, &mut nodes).await?;
     until_served(&fleet).await?;
     check_calm(&fleet, &ledger).await;
@@ -95,6 +102,9 @@
     for caller in callers {
         caller.await.wrap_err("a caller ended early")?;
     }
+    for member in &fleet.members {
+        cold::overloads(&member.upstream).into_iter().for_each(|what| ledger.breach(what));
+    }
     let seen = fleet.members.iter().map(|member| member.upstream.seen.lock().clone());
     let runs: Vec<Seen> = seen.flatten().filter(|run| !run.is_named("probe")).collect();
     let (sent, good) = ledger.counts();
@@ -111,7 +121,8 @@
         let (upstream, _) = Proxy::start(settings.upstream, member.upstream.addr).await?;
         let process = Process::start(&plan.program, &plan.folder, &settings)
             .wrap_err_with(|| format!("could not start {}", plan.program.display()))?;
-        nodes.push(Node { process, store, upstream, stopping: false, paused: false });
+        let starts = Arc::default();
+        nodes.push(Node { process, store, upstream, stopping: false, paused: false, starts });
     }
     Ok(nodes)
 }
@@ -133,14 +144,37 @@
     callers
 }
 
+/// Watches the version of the routing at each node.
+fn start_watches(
+    fleet: &Fleet,
+    nodes: &[Node],
+    ledger: &Arc<Ledger>,
+    newest: &Arc<AtomicU64>,
+    stop: &Arc<AtomicBool>,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let watch = |(at, node): (usize, &Node)| {
+        let watch = Watch {
+            node: fleet.callers(at),
+            newest: Arc::clone(newest),
+            starts: Arc::clone(&node.starts),
+            stop: Arc::clone(stop),
+        };
+        tokio::spawn(watch.run(format!("node {at}"), Arc::clone(ledger)))
+    };
+    nodes.iter().enumerate().map(watch).collect()
+}
+
 /// Injects faults until the plan's time is over; returns their number.
 async fn disturb(
     plan: &Plan,
     fleet: &Fleet,
     nodes: &mut [Node],
+    newest: &AtomicU64,
     rng: &mut SmallRng,
 ) -> Result<usize> {
     let begun = Instant::now();
+    // A stream of its own, so that the other faults of a seed stay what they were.
+    let mut colds = SmallRng::seed_from_u64(plan.seed ^ COLD_STREAM);
     let mut trace = File::create(plan.folder.join("faults.log"))?;
     let mut faults = 0;
     let mut version = 1;
@@ -148,13 +182,19 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(20..400))).await;
         faults::revive(nodes)?;
         let at = rng.random_range(0..nodes.len());
-        let fault = Fault::draw(rng);
-        writeln!(trace, "at_ms={} node={at} fault={fault:?}", begun.elapsed().as_millis())?;
-        fault.inject(fleet, at, &mut nodes[at])?;
-        faults += 1;
+        let mut drawn = vec![(at, Fault::draw(rng))];
+        if colds.random_bool(COLD_SHARE) {
+            drawn.push((colds.random_range(0..nodes.len()), Fault::Cold));
+        }
+        for (at, fault) in drawn {
+            writeln!(trace, "at_ms={} node={at} fault={fault:?}", begun.elapsed().as_millis())?;
+            fault.inject(fleet, at, &mut nodes[at])?;
+            faults += 1;
+        }
         if rng.random_bool(0.1) {
             version += rng.random_range(1..4);
-            fleet.store.put("op/config", &config(version, 5.0));
+            fleet.store.put("op/config", &fleet.config_with(version, &marker(version)));
+            newest.store(version, Ordering::SeqCst);
         }
     }
     Ok(faults)
