Log callers that leave, and follow an upstream's failure to the call that failed it

Requests whose caller left had no line. Change: the line of an ended request names its sends and the upstreams known; a caller that leaves has a line; the story of a request follows the calls of its run.

--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -103,8 +103,7 @@
 /// assert_eq!(tell("x", &[line]).unwrap().cause, "no route matched its host and path");
 /// ```
 pub fn tell(id: &str, all: &[Line]) -> Option<Story> {
-    let mut lines: Vec<Line> = all.iter().filter(|line| line.get("id") == id).cloned().collect();
-    lines.sort_by_key(|line| line.ts_ms);
+    let lines = lines_of(id, all);
     let first = lines.first()?.ts_ms;
     let last = lines.last()?.ts_ms;
     let near = first.saturating_sub(CONTEXT_MS)..=last;
@@ -112,22 +111,51 @@
         |line: &&Line| BELIEFS.contains(&line.event.as_str()) && near.contains(&line.ts_ms);
     let mut context: Vec<Line> = all.iter().filter(relevant).cloned().collect();
     context.sort_by_key(|line| line.ts_ms);
-    let cause = cause(&lines, &context);
+    let mut cause = cause(&lines, &context);
+    if lines.iter().any(failed_by_upstream)
+        && let Some(call) = failed_call(id, all)
+        && let Some(story) = tell(call, all)
+    {
+        cause += &format!("; its call {call} failed: {}", story.cause);
+    }
     Some(Story { lines, context, cause })
 }
 
+/// Lines that name request `id`, in order of time.
+fn lines_of(id: &str, all: &[Line]) -> Vec<Line> {
+    let mut lines: Vec<Line> = all.iter().filter(|line| line.get("id") == id).cloned().collect();
+    lines.sort_by_key(|line| line.ts_ms);
+    lines
+}
+
+fn failed_by_upstream(line: &Line) -> bool {
+    line.event == "call" && line.get("ended") == "answered" && line.get("status") >= "500"
+}
+
+/// A failed call of the upstream that ran request `id`; ids of such calls continue the
+/// request's id after a dot.
+fn failed_call<'a>(id: &str, all: &'a [Line]) -> Option<&'a str> {
+    let of_run = |line: &&Line| {
+        let rest = line.get("id").strip_prefix(id);
+        line.event == "call" && rest.is_some_and(|rest| rest.starts_with('.'))
+    };
+    let failed = |line: &&Line| line.get("status") >= "400";
+    all.iter().filter(of_run).find(failed).map(|line| line.get("id"))
+}
+
 fn cause(lines: &[Line], context: &[Line]) -> String {
     let last = |event: &str| lines.iter().rev().find(|line| line.event == event);
     let Some(call) = last("call") else {
-        return "the ingress wrote no ending: it succeeded, or its caller left".to_owned();
+        return "the ingress wrote no ending: it succeeded, or the line was left out".to_owned();
     };
     let gate = last("gate-ended");
-    let at_gate = || gate.map_or_else(|| unreached(last("tried")), gate_cause);
+    let at_gate = || gate.map_or_else(|| unreached(call, last("tried")), gate_cause);
     let away = context.iter().any(|line| line.event == "store-lost");
     let stale =
         if away { "; the store was away, so that the node's knowledge was old" } else { "" };
     match call.get("ended") {
         "answered" => format!("the upstream answered with status {}", call.get("status")),
+        "caller-left" => "its caller left before it was answered".to_owned(),
         "no-route" => format!("no route matched its host and path{stale}"),
         "no-routing" => format!("the node knew no routing yet{stale}"),
         "no-room" => format!("refused: {}{stale}", at_gate()),
@@ -138,15 +166,18 @@
     }
 }
 
-fn unreached(tried: Option<&Line>) -> String {
-    match tried {
-        Some(tried) => format!(
+/// Cause where no line of a gate names the request.
+fn unreached(call: &Line, tried: Option<&Line>) -> String {
+    match (tried, call.get("sends"), call.get("known")) {
+        (Some(tried), ..) => format!(
             "gate {} ended it with {}: {}",
             tried.get("gate"),
             tried.get("ended"),
             tried.get("why")
         ),
-        None => "no upstream of its service could be chosen".to_owned(),
+        (None, "0", "0") => "the node knew no upstream of its service".to_owned(),
+        (None, "0" | "?", _) => "no upstream of its service could be chosen".to_owned(),
+        (None, sends, _) => format!("{sends} gates refused it, and their lines were left out"),
     }
 }
 
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -51,12 +51,16 @@
     pub ended: &'static str,
     /// What the caller gets.
     pub response: Response<Full<Bytes>>,
+    /// Gates that it was sent to.
+    pub sends: usize,
+    /// Upstreams that could be chosen when it ended.
+    pub known: usize,
 }
 
 impl Outcome {
     /// An ending without an answer of the upstream.
     pub fn own(status: StatusCode, ended: &'static str) -> Self {
-        Outcome { ended, response: answer::own(status, ended) }
+        Outcome { ended, response: answer::own(status, ended), sends: 0, known: 0 }
     }
 
     /// A refusal of a request that did not run, with the time until room is expected.
@@ -70,6 +74,29 @@
     }
 }
 
+/// Records that a caller left when it is dropped before its request has ended.
+struct Pending {
+    node: Arc<Node>,
+    id: Option<HeaderValue>,
+    arrived: Micros,
+    ended: bool,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let took = self.node.now() - self.arrived;
+        self.node.metrics.call(CALLER_LEFT, took);
+        let id = self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
+        event::info(Event::Call, &[("id", &id), ("ended", &CALLER_LEFT), ("took_us", &took)]);
+    }
+}
+
+/// Ending of a request whose caller closed its connection before it was answered.
+const CALLER_LEFT: &str = "caller-left";
+
 impl Node {
     /// Serves one request of a caller.
     pub(crate) async fn serve_caller(
@@ -79,10 +106,12 @@
         let arrived = self.now();
         let _open = Open::new(self);
         let id = request.headers().get(header::ATTEMPT).cloned();
+        let mut pending = Pending { node: Arc::clone(self), id: id.clone(), arrived, ended: false };
         let mut outcome = match self.accept(request, arrived).await {
             Ok(call) => self.send(call).await,
             Err(outcome) => outcome,
         };
+        pending.ended = true;
         self.record(id.as_ref(), &outcome, self.now() - arrived);
         let headers = outcome.response.headers_mut();
         if let (Some(id), false) = (id, headers.contains_key(header::ATTEMPT)) {
@@ -107,6 +136,8 @@
                 ("ended", &outcome.ended),
                 ("status", &status),
                 ("took_us", &took),
+                ("sends", &outcome.sends),
+                ("known", &outcome.known),
                 ("revision", &self.revision()),
             ],
         );
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -90,6 +90,7 @@
 #[derive(Default)]
 struct Progress {
     tried: Vec<Name>,
+    sends: usize,
     refusals: usize,
     arrivals: usize,
     retry: Option<Micros>,
@@ -108,18 +109,26 @@
     pub(crate) async fn send(self: &Arc<Self>, call: Call) -> Outcome {
         self.earn(&call.service);
         let mut progress = Progress::default();
+        let mut outcome = self.send_until_done(&call, &mut progress).await;
+        outcome.sends = progress.sends;
+        outcome.known = self.lock().index.usable(&call.service).len();
+        outcome
+    }
+
+    async fn send_until_done(self: &Arc<Self>, call: &Call, progress: &mut Progress) -> Outcome {
         while progress.refusals < REFUSALS_MAX {
-            let Some(choice) = self.pick(&call, &progress.tried) else { break };
+            let Some(choice) = self.pick(call, &progress.tried) else { break };
             progress.tried.push(choice.instance.clone());
-            let tried = self.try_gate(&call, &choice, progress.refusals > 0).await;
-            match self.judge(&call, &mut progress, tried) {
+            progress.sends += 1;
+            let tried = self.try_gate(call, &choice, progress.refusals > 0).await;
+            match self.judge(call, progress, tried) {
                 Next::Another => {}
                 Next::Stop => break,
                 Next::Done(outcome) => return outcome,
             }
         }
         let retry = progress.retry.unwrap_or(RETRY_UNKNOWN);
-        progress.last.unwrap_or_else(|| Outcome::refused("no-room", retry))
+        progress.last.take().unwrap_or_else(|| Outcome::refused("no-room", retry))
     }
 
     /// Decides what follows after a send.
@@ -140,7 +149,7 @@
             (Ended::Answered, Some(response)) => {
                 progress.arrivals += 1;
                 let failed = response.status().is_server_error();
-                let outcome = Outcome { ended: "answered", response };
+                let outcome = Outcome { ended: "answered", response, sends: 0, known: 0 };
                 if !failed || !self.may_run_again(call, progress) {
                     return Next::Done(outcome);
                 }
--- a/crates/mesh/tests/explain.rs
+++ b/crates/mesh/tests/explain.rs
@@ -105,3 +105,14 @@
     let story = real.story("stale-1").await;
     assert!(story.cause.contains("the store was away"), "{}", story.cause);
 }
+
+#[tokio::test]
+async fn caller_that_leaves_is_told_apart_from_a_request_that_succeeded() {
+    let real = Real::start("left", &["z"]).await;
+    *real.fleet.members[0].upstream.delay.lock() = Duration::from_secs(2);
+    let text = client::request("GET", "/get/1", "left-1", 3_000, "");
+    let sent = client::try_send(real.fleet.callers(0), &text);
+    assert!(tokio::time::timeout(Duration::from_millis(300), sent).await.is_err());
+    let story = real.story("left-1").await;
+    assert_eq!(story.cause, "its caller left before it was answered");
+}
