Untie the circle of imports in the trial crate

Change: what callers, faults and the report share is scene.rs, a node with its upstream member.rs; world.rs builds a trial and injects its faults.

--- a/crates/trial/src/callers.rs
+++ b/crates/trial/src/callers.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use bbv_core::catalogue::Entry;
-use bbv_core::id::Vm;
 use bbv_core::outcome::Refusal;
 use bbv_core::ticket::Ticket;
 use bbv_core::units::{MS, Micros, SEC};
@@ -12,13 +11,12 @@
 use bbv_wire::{Field, Request};
 use parking_lot::Mutex;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::model::{CALL, CRASH, ONCE};
 use crate::observer::Seen;
 use crate::plan::Stream;
-use crate::world::World;
+use crate::scene::Scene;
 
 const ARRIVALS: u64 = 0x6172;
 const RESENDS: usize = 4;
@@ -29,7 +27,7 @@
 
 /// Calls of one stream.
 pub struct Source {
-    world: Arc<World>,
+    scene: Arc<Scene>,
     stream: Stream,
     entry: Entry,
     spare: Mutex<Vec<Ticket>>,
@@ -39,9 +37,9 @@
 
 impl Source {
     /// Creates the calls of a stream; the entry is in the catalogue.
-    pub fn new(world: &Arc<World>, stream: &Stream, entry: &Entry, seed: u64) -> Arc<Self> {
+    pub fn new(scene: &Arc<Scene>, stream: &Stream, entry: &Entry, seed: u64) -> Arc<Self> {
         Arc::new(Source {
-            world: Arc::clone(world),
+            scene: Arc::clone(scene),
             stream: stream.clone(),
             entry: entry.clone(),
             spare: Mutex::default(),
@@ -52,14 +50,14 @@
 
     /// Offers calls until `until`.
     pub async fn offer(self: Arc<Self>, until: Micros) {
-        let timer = self.world.timer.clone();
-        let capacity = self.world.plan.capacity(&self.entry.service);
+        let timer = self.scene.timer.clone();
+        let capacity = self.scene.plan.capacity(&self.entry.service);
         // Arrivals have random numbers of their own, so that they are the same for every
         // policy.
         let mut arrivals = SmallRng::seed_from_u64(self.seed ^ ARRIVALS);
         let mut at = timer.now() as f64;
         loop {
-            let rate = capacity * self.stream.load * self.world.load_factor();
+            let rate = capacity * self.stream.load * self.scene.load_factor();
             let uniform: f64 = arrivals.random();
             at += -(1.0 - uniform).ln() / rate.max(0.001) * SEC as f64;
             if at as Micros >= until {
@@ -104,8 +102,8 @@
             self.look_up().await;
             return;
         }
-        let start = self.world.timer.now();
-        let id = self.world.next_call();
+        let start = self.scene.timer.now();
+        let id = self.scene.next_call();
         let request = self.request(id, false);
         let ticket = self.ticket(&request).await;
         let seen = match (ticket, twice) {
@@ -121,19 +119,19 @@
     }
 
     fn ended(&self, id: u64, start: Micros, seen: Seen) {
-        let latency = self.world.timer.now() - start;
-        let measured = self.world.measured(start);
-        self.world.observer.ended(id, &self.entry.name, seen, latency, measured);
+        let latency = self.scene.timer.now() - start;
+        let measured = self.scene.measured(start);
+        self.scene.observer.ended(id, &self.entry.name, seen, latency, measured);
     }
 
     /// Sends an idempotent call; each resend is a request of its own.
     async fn look_up(self: Arc<Self>) {
-        let start = self.world.timer.now();
+        let start = self.scene.timer.now();
         loop {
-            let id = self.world.next_call();
+            let id = self.scene.next_call();
             let outcome = self.once(&self.request(id, false), None).await;
             if self.chance(self.stream.answer_loss) {
-                self.world.timer.sleep(RESEND_AFTER).await;
+                self.scene.timer.sleep(RESEND_AFTER).await;
                 continue;
             }
             let seen = outcome.map_or(Seen::Unknown, |outcome| self.judge(id, outcome.ending));
@@ -163,7 +161,7 @@
         while sends > 0 {
             let outcome = self.once(request, ticket).await;
             if self.chance(self.stream.answer_loss) {
-                self.world.timer.sleep(RESEND_AFTER).await;
+                self.scene.timer.sleep(RESEND_AFTER).await;
                 continue;
             }
             sends -= 1;
@@ -174,7 +172,7 @@
                     seen => return seen,
                 }
             }
-            self.world.timer.sleep(RESEND_AFTER).await;
+            self.scene.timer.sleep(RESEND_AFTER).await;
         }
         Seen::Unknown
     }
@@ -184,7 +182,7 @@
             Ending::Answered(answer) => {
                 let (good, failed) = (format!("call {id}"), format!("failed {id}"));
                 if answer.body != good.as_bytes() && answer.body != failed.as_bytes() {
-                    self.world.observer.note(|facts| facts.crossed += 1);
+                    self.scene.observer.note(|facts| facts.crossed += 1);
                 }
                 if answer.status >= 500 { Seen::Failed } else { Seen::Answered }
             }
@@ -196,27 +194,27 @@
 
     /// Sends a request through one node; none when no outcome came back.
     async fn once(&self, request: &Request, ticket: Option<Ticket>) -> Option<Outcome> {
-        let world = &self.world;
+        let scene = &self.scene;
         let limit = self.entry.deadline_ms * MS + CALLER_GRACE;
         for _ in 0..RESENDS {
             let member = {
                 let mut rng = self.rng.lock();
                 let home =
                     ticket.map(|ticket| ticket.owner.vm).filter(|_| rng.random::<f64>() < 0.8);
-                world.ingress(home, &mut rng)?
+                scene.ingress(home, &mut rng)?
             };
-            world.client_delay().await;
-            if !world.is_alive(&member) {
-                world.client_delay().await;
+            scene.client_delay().await;
+            if !scene.is_alive(&member) {
+                scene.client_delay().await;
                 continue;
             }
             member.node.timer().awake().await;
             let call = Call { request: request.clone(), ttl: None, ticket };
-            let until = world.timer.now() + limit;
-            let outcome = world.timer.limit(until, member.node.call(call)).await;
+            let until = scene.timer.now() + limit;
+            let outcome = scene.timer.limit(until, member.node.call(call)).await;
             member.node.timer().awake().await;
-            let died = world.is_dead(&member);
-            world.client_delay().await;
+            let died = scene.is_dead(&member);
+            scene.client_delay().await;
             return outcome.filter(|_| !died);
         }
         None
@@ -224,7 +222,7 @@
 
     /// Sends one request that crashes upstreams, again and again.
     pub async fn poison(self: Arc<Self>) {
-        let id = self.world.next_call();
+        let id = self.scene.next_call();
         let request = self.request(id, true);
         let mut ticket = None;
         for _ in 0..POISON_RESENDS {
@@ -232,7 +230,7 @@
                 ticket = self.ticket(&request).await;
             }
             self.once(&request, ticket).await;
-            self.world.timer.sleep(POISON_EVERY).await;
+            self.scene.timer.sleep(POISON_EVERY).await;
         }
     }
 }
@@ -244,8 +242,3 @@
     }
     if a == Seen::Answered { a } else { b }
 }
-
-/// Chooses the node that a caller connects to.
-pub fn choose(vms: &[Vm], home: Option<Vm>, rng: &mut SmallRng) -> Option<Vm> {
-    home.filter(|vm| vms.contains(vm)).or_else(|| vms.choose(rng).copied())
-}
--- a/crates/trial/src/report.rs
+++ b/crates/trial/src/report.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::links::Counted;
-use crate::world::{Member, World};
+use crate::member::Member;
+use crate::scene::Scene;
 
 /// Figures of one trial.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -92,7 +93,7 @@
 impl Report {
     /// Gathers the figures at the end of a trial.
     pub fn gather(
-        world: &World,
+        scene: &Scene,
         policy: &str,
         seed: u64,
         members: &[Member],
@@ -100,17 +101,17 @@
         before: Counted,
         counted: Counted,
     ) -> Self {
-        let plan = &world.plan;
+        let plan = &scene.plan;
         let seconds = plan.length as f64 / SEC as f64;
         let capacity: f64 = plan.pools.iter().map(|pool| plan.capacity(&pool.service)).sum();
         let nodes = members.len().max(1) as f64;
         let probe_msgs = counted.probe_msgs - before.probe_msgs;
         let control = counted.control_bytes - before.control_bytes;
-        let delays = in_force_delays(world, members);
-        let latest = world.platform.revision();
+        let delays = in_force_delays(scene, members);
+        let latest = scene.platform.revision();
         let behind = members.iter().filter(|m| m.node.status().revision < latest).count() as u64;
         let reconciled = reconcile(members, gone);
-        world.observer.read(|facts| Report {
+        scene.observer.read(|facts| Report {
             name: plan.name.clone(),
             policy: policy.to_owned(),
             seed,
@@ -145,9 +146,9 @@
             in_force_p99_ms: quantile(&delays, 0.99),
             in_force_max_ms: delays.last().copied().unwrap_or(0),
             behind,
-            chills: chills(world, members),
+            chills: chills(scene, members),
             reversions: reversions(members),
-            platform_reads_per_s: world.platform.reads().max_per_s,
+            platform_reads_per_s: scene.platform.reads().max_per_s,
         })
     }
 }
@@ -158,14 +159,14 @@
 }
 
 /// Times to force of documents published after the lead, in order.
-fn in_force_delays(world: &World, members: &[Member]) -> Vec<u64> {
+fn in_force_delays(scene: &Scene, members: &[Member]) -> Vec<u64> {
     let mut delays = Vec::new();
     for member in members {
         for line in member.node.audit(0) {
             let Some(delay) = line.delay_ms else { continue };
             let published = line.at.saturating_sub(delay * MS);
             // A node that started later took older documents over when it began.
-            let counts = published >= member.started.max(world.plan.lead);
+            let counts = published >= member.started.max(scene.plan.lead);
             if counts && line.event == Event::InForce && !line.subject.starts_with("vm/") {
                 delays.push(delay);
             }
@@ -176,10 +177,10 @@
 }
 
 /// Counts how often gates took their upstream to be cold after the lead.
-fn chills(world: &World, members: &[Member]) -> u64 {
+fn chills(scene: &Scene, members: &[Member]) -> u64 {
     let lines = members.iter().flat_map(|member| member.node.audit(0));
     let chilled = lines.filter(|line| {
-        line.event == Event::UpstreamState && line.subject == "cold" && line.at > world.plan.lead
+        line.event == Event::UpstreamState && line.subject == "cold" && line.at > scene.plan.lead
     });
     chilled.count() as u64
 }
--- a/crates/trial/src/world.rs
+++ b/crates/trial/src/world.rs
@@ -1,6 +1,6 @@
 //! The parts of a trial put together, and its faults.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,20 +14,20 @@
 use bbv_node::timer::Timer;
 use bbv_node::{Node, Options};
 use parking_lot::Mutex;
-use rand::rngs::SmallRng;
+use rand::Rng;
 use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
 use tokio::task::JoinHandle;
 
-use crate::callers::{Source, choose};
+use crate::callers::Source;
 use crate::fault::{Fault, Kind};
 use crate::links::Links;
+use crate::member::Member;
 use crate::model::Model;
-use crate::observer::Observer;
 use crate::plan::{Plan, Stream};
 use crate::platform::Platform;
 use crate::policy::{Oracle, Policy, baseline};
 use crate::report::Report;
+use crate::scene::Scene;
 
 const READ_CAP: u64 = 2_000;
 const LIST_LAG: Micros = 2 * SEC;
@@ -36,48 +36,15 @@
 const SEEDS: usize = 3;
 const FIRST_PORT: u16 = 9_000;
 
-/// One node with its upstream.
-#[derive(Clone)]
-pub struct Member {
-    /// VM.
-    pub vm: Vm,
-    /// Address of the node.
-    pub addr: SocketAddr,
-    /// Zone of the VM.
-    pub zone: String,
-    /// Service of the upstream.
-    pub service: String,
-    /// Node.
-    pub node: Arc<Node>,
-    /// Upstream.
-    pub model: Arc<Model>,
-    /// Time at which the node started.
-    pub started: Micros,
-    tasks: Arc<Vec<JoinHandle<()>>>,
-}
-
 /// One trial that runs.
 pub struct World {
-    /// Clock of everything outside the nodes.
-    pub timer: Timer,
-    /// Trial file.
-    pub plan: Plan,
-    /// Independent observer.
-    pub observer: Arc<Observer>,
-    /// Platform stand-in.
-    pub platform: Arc<Platform>,
-    /// Links between nodes.
-    pub links: Arc<Links>,
+    scene: Arc<Scene>,
+    links: Arc<Links>,
     policy: Policy,
     seed: u64,
     oracle: Arc<Oracle>,
-    members: Mutex<BTreeMap<Vm, Member>>,
-    gone: Mutex<Vec<Member>>,
-    calls: AtomicU64,
     next_vm: AtomicU64,
-    rng: Mutex<SmallRng>,
     out: Mutex<BTreeSet<String>>,
-    load: Mutex<f64>,
 }
 
 /// Runs a trial to its end in virtual time.
@@ -100,25 +67,18 @@
         let catalogue = plan.catalogue.clone();
         let one_way = move |from: &str, to: &str| catalogue.rtt(from, to) / 2;
         let links = Links::new(timer.clone(), seed ^ 1, plan.jitter, plan.loss, Box::new(one_way));
+        let platform = Arc::new(Platform::new(timer.clone(), READ_CAP));
         let world = Arc::new(World {
-            platform: Arc::new(Platform::new(timer.clone(), READ_CAP)),
-            observer: Arc::default(),
             links,
             policy,
             seed,
             oracle: Arc::default(),
-            members: Mutex::default(),
-            gone: Mutex::default(),
-            calls: AtomicU64::new(1),
             next_vm: AtomicU64::new(0),
-            rng: Mutex::new(SmallRng::seed_from_u64(seed ^ 2)),
             out: Mutex::default(),
-            load: Mutex::new(1.0),
-            plan: plan.clone(),
-            timer,
+            scene: Arc::new(Scene::new(timer, platform, plan, seed ^ 2)),
         });
         for (key, value) in plan.catalogue.documents() {
-            world.platform.publish(&key, Some(value));
+            world.scene.platform.publish(&key, Some(value));
         }
         for pool in &plan.pools {
             for at in 0..pool.endpoints {
@@ -134,19 +94,20 @@
     fn spawn(self: &Arc<Self>, zone: &str, service: &str, cold: bool) -> Member {
         let number = self.next_vm.fetch_add(1, Ordering::Relaxed) as u32;
         let addr = SocketAddr::new(IpAddr::V4(Ipv4Addr::from(0x0a00_0000 + number)), FIRST_PORT);
-        let bounds = &self.plan.catalogue.services[service];
-        let pool = self.plan.pools.iter().find(|pool| pool.service == service);
+        let bounds = &self.scene.plan.catalogue.services[service];
+        let pool = self.scene.plan.pools.iter().find(|pool| pool.service == service);
         let pool = pool.expect("services of members have a pool");
-        let seed = self.rng.lock().random::<u64>();
-        let model = Model::new(number, bounds, pool, &self.timer, &self.observer, seed, cold);
+        let seed = self.scene.rng.lock().random::<u64>();
+        let model =
+            Model::new(number, bounds, pool, &self.scene.timer, &self.scene.observer, seed, cold);
         self.oracle.show(&model, zone, bounds.slots as f64, pool.mean());
-        let timer = self.timer.fork();
+        let timer = self.scene.timer.fork();
         let ports = Ports {
             link: self.links.port(addr, zone, &timer),
             platform: self.platform_port(),
             upstream: upstream_port(&model, &timer),
         };
-        let (catalogue, own) = (self.plan.catalogue.clone(), zone.to_owned());
+        let (catalogue, own) = (self.scene.plan.catalogue.clone(), zone.to_owned());
         let rtt = move |to: &str| catalogue.rtt(&own, to);
         let options = Options {
             vm: Vm(number),
@@ -155,7 +116,7 @@
             seed: seed ^ self.seed,
             tickets: TICKETS,
             peers: self.seeds(),
-            wall_ms: Some(self.timer.now() / MS),
+            wall_ms: Some(self.scene.timer.now() / MS),
             baseline: baseline(self.policy, &self.oracle, rtt),
         };
         let node = Node::new(options, ports, timer);
@@ -165,24 +126,24 @@
             addr,
             zone: zone.to_owned(),
             service: service.to_owned(),
-            started: self.timer.now(),
+            started: self.scene.timer.now(),
             tasks: Arc::new(node.start()),
             node,
             model,
         };
-        self.members.lock().insert(member.vm, member.clone());
+        self.scene.members.lock().insert(member.vm, member.clone());
         member
     }
 
     /// Peers in the settings of a new node.
     fn seeds(&self) -> Vec<SocketAddr> {
-        let members = self.members.lock();
+        let members = self.scene.members.lock();
         let addrs: Vec<SocketAddr> = members.values().map(|member| member.addr).collect();
-        addrs.choose_multiple(&mut *self.rng.lock(), SEEDS).copied().collect()
+        addrs.choose_multiple(&mut *self.scene.rng.lock(), SEEDS).copied().collect()
     }
 
     fn platform_port(&self) -> PlatformPort {
-        let platform = Arc::clone(&self.platform);
+        let platform = Arc::clone(&self.scene.platform);
         Box::new(move |since, wait| {
             let platform = Arc::clone(&platform);
             Box::pin(async move { platform.read(since, wait).await })
@@ -198,110 +159,72 @@
             leaving,
         };
         let text = serde_json::to_string(&listed).expect("the list is encoded as JSON");
-        self.platform.publish(&format!("vm/{}", member.vm.0), Some(text));
-    }
-
-    /// Number for the next call.
-    pub fn next_call(&self) -> u64 {
-        self.calls.fetch_add(1, Ordering::Relaxed)
-    }
-
-    /// Factor by which the offered load is raised now.
-    pub fn load_factor(&self) -> f64 {
-        *self.load.lock()
-    }
-
-    /// Tells whether a call that began at `start` is measured.
-    pub fn measured(&self, start: Micros) -> bool {
-        (self.plan.lead..self.plan.lead + self.plan.length).contains(&start)
-    }
-
-    /// Node that a caller connects to.
-    pub fn ingress(&self, home: Option<Vm>, rng: &mut SmallRng) -> Option<Member> {
-        let members = self.members.lock();
-        let vms: Vec<Vm> = members.keys().copied().collect();
-        choose(&vms, home, rng).and_then(|vm| members.get(&vm).cloned())
-    }
-
-    /// Tells whether the process of a member still runs.
-    pub fn is_alive(&self, member: &Member) -> bool {
-        self.members.lock().contains_key(&member.vm)
-    }
-
-    /// Tells whether the process of a member has ended.
-    pub fn is_dead(&self, member: &Member) -> bool {
-        self.gone.lock().iter().any(|gone| gone.vm == member.vm)
-    }
-
-    /// Waits for the way between a caller and a node.
-    pub async fn client_delay(&self) {
-        let jitter = -(1.0 - self.rng.lock().random::<f64>()).ln() * self.plan.jitter;
-        let delay = self.plan.client as f64 * (1.0 + jitter);
-        self.timer.sleep(delay as Micros).await;
+        self.scene.platform.publish(&format!("vm/{}", member.vm.0), Some(text));
     }
 
     async fn run(self: &Arc<Self>) -> Report {
-        let end = self.plan.lead + self.plan.length;
-        for (number, stream) in self.plan.streams.iter().enumerate() {
-            let entry = &self.plan.catalogue.entries[&stream.entry];
+        let end = self.scene.plan.lead + self.scene.plan.length;
+        for (number, stream) in self.scene.plan.streams.iter().enumerate() {
+            let entry = &self.scene.plan.catalogue.entries[&stream.entry];
             let seed = self.seed.wrapping_mul(31).wrapping_add(number as u64);
-            let source = Source::new(self, stream, entry, seed);
+            let source = Source::new(&self.scene, stream, entry, seed);
             let world = Arc::clone(self);
             tokio::spawn(async move {
                 // Nodes learn the configuration before the first calls come.
-                world.timer.sleep_until(500 * MS).await;
+                world.scene.timer.sleep_until(500 * MS).await;
                 source.offer(end).await;
             });
         }
-        for fault in &self.plan.faults {
-            for at in fault.times(self.plan.length) {
+        for fault in &self.scene.plan.faults {
+            for at in fault.times(self.scene.plan.length) {
                 let (world, fault) = (Arc::clone(self), fault.clone());
                 tokio::spawn(async move {
-                    world.timer.sleep_until(world.plan.lead + at).await;
+                    world.scene.timer.sleep_until(world.scene.plan.lead + at).await;
                     world.inject(fault).await;
                 });
             }
         }
-        if self.plan.changes > 0.0 {
+        if self.scene.plan.changes > 0.0 {
             tokio::spawn(Arc::clone(self).publish_changes(end));
         }
-        self.timer.sleep_until(self.plan.lead).await;
+        self.scene.timer.sleep_until(self.scene.plan.lead).await;
         let before = self.links.counted();
-        self.timer.sleep_until(end).await;
+        self.scene.timer.sleep_until(end).await;
         let counted = self.links.counted();
-        self.timer.sleep_until(end + TAIL).await;
-        let members: Vec<Member> = self.members.lock().values().cloned().collect();
-        let gone = self.gone.lock().clone();
-        Report::gather(self, self.policy.name(), self.seed, &members, &gone, before, counted)
+        self.scene.timer.sleep_until(end + TAIL).await;
+        let members: Vec<Member> = self.scene.members.lock().values().cloned().collect();
+        let gone = self.scene.gone.lock().clone();
+        Report::gather(&self.scene, self.policy.name(), self.seed, &members, &gone, before, counted)
     }
 
     /// Publishes documents that change nothing, at the planned rate.
     async fn publish_changes(self: Arc<Self>, end: Micros) {
-        let docs: Vec<(String, String)> = self.plan.catalogue.documents().into_iter().collect();
+        let docs: Vec<(String, String)> =
+            self.scene.plan.catalogue.documents().into_iter().collect();
         let entries: Vec<_> = docs.iter().filter(|(key, _)| key.starts_with("entry/")).collect();
-        let mean = 3_600.0 * SEC as f64 / self.plan.changes;
+        let mean = 3_600.0 * SEC as f64 / self.scene.plan.changes;
         loop {
             let (gap, at) = {
-                let mut rng = self.rng.lock();
+                let mut rng = self.scene.rng.lock();
                 (-(1.0 - rng.random::<f64>()).ln() * mean, rng.random_range(0..entries.len()))
             };
-            self.timer.sleep(gap as Micros).await;
-            if self.timer.now() >= end {
+            self.scene.timer.sleep(gap as Micros).await;
+            if self.scene.timer.now() >= end {
                 return;
             }
             let (key, value) = entries[at];
-            self.platform.publish(key, Some(value.clone()));
+            self.scene.platform.publish(key, Some(value.clone()));
         }
     }
 
     fn affected(&self, fault: &Fault) -> Vec<Member> {
-        let members = self.members.lock();
+        let members = self.scene.members.lock();
         let range = fault.vm..fault.vm + fault.count;
         range.filter_map(|vm| members.get(&Vm(vm)).cloned()).collect()
     }
 
     async fn inject(self: &Arc<Self>, fault: Fault) {
-        let now = self.timer.now();
+        let now = self.scene.timer.now();
         let until = now + fault.span;
         match fault.kind {
             Kind::Cold => self.affected(&fault).iter().for_each(|m| m.model.chill()),
@@ -313,13 +236,13 @@
                 }
             }
             Kind::Load => {
-                *self.load.lock() = fault.factor;
-                self.timer.sleep_until(until).await;
-                *self.load.lock() = 1.0;
+                *self.scene.load.lock() = fault.factor;
+                self.scene.timer.sleep_until(until).await;
+                *self.scene.load.lock() = 1.0;
             }
             Kind::Pause => self.affected(&fault).iter().for_each(|m| m.node.timer().freeze(until)),
-            Kind::PlatformDown => self.platform.down(until),
-            Kind::PlatformStale => self.platform.stale(until),
+            Kind::PlatformDown => self.scene.platform.down(until),
+            Kind::PlatformStale => self.scene.platform.stale(until),
             Kind::Poison => self.poison(&fault).await,
             Kind::Replace | Kind::Stop => {
                 for member in self.affected(&fault) {
@@ -337,35 +260,35 @@
     async fn cut(&self, fault: &Fault) {
         let pairs: Vec<(&String, &String)> = match &fault.zones[..] {
             [a, b] => vec![(a, b)],
-            [a] => self.plan.zones.iter().filter(|zone| *zone != a).map(|b| (a, b)).collect(),
+            [a] => self.scene.plan.zones.iter().filter(|zone| *zone != a).map(|b| (a, b)).collect(),
             _ => Vec::new(),
         };
         pairs.iter().for_each(|(a, b)| self.links.cut(a, b, true));
-        self.timer.sleep(fault.span).await;
+        self.scene.timer.sleep(fault.span).await;
         pairs.iter().for_each(|(a, b)| self.links.cut(a, b, false));
     }
 
     async fn poison(self: &Arc<Self>, fault: &Fault) {
-        let name = fault.entry.as_ref().or(self.plan.streams.first().map(|s| &s.entry));
-        let Some(entry) = name.and_then(|name| self.plan.catalogue.entries.get(name)) else {
+        let name = fault.entry.as_ref().or(self.scene.plan.streams.first().map(|s| &s.entry));
+        let Some(entry) = name.and_then(|name| self.scene.plan.catalogue.entries.get(name)) else {
             return;
         };
         let stream = Stream { entry: entry.name.clone(), load: 0.0, twice: 0.0, answer_loss: 0.0 };
-        Source::new(self, &stream, entry, self.seed ^ 77).poison().await;
+        Source::new(&self.scene, &stream, entry, self.seed ^ 77).poison().await;
     }
 
     async fn zone_out(self: &Arc<Self>, fault: &Fault) {
         for zone in &fault.zones {
             self.set_out(zone, true);
         }
-        self.timer.sleep(fault.span).await;
+        self.scene.timer.sleep(fault.span).await;
         for zone in &fault.zones {
             self.set_out(zone, false);
         }
     }
 
     fn set_out(&self, zone: &str, is_out: bool) {
-        let now = self.timer.now();
+        let now = self.scene.timer.now();
         let zones = {
             let mut out = self.out.lock();
             if is_out {
@@ -375,34 +298,34 @@
             }
             out.clone()
         };
-        for member in self.members.lock().values().filter(|member| member.zone == zone) {
+        for member in self.scene.members.lock().values().filter(|member| member.zone == zone) {
             member.model.set_out(is_out.then_some(now));
-            if !is_out && self.plan.chill_on_return {
+            if !is_out && self.scene.plan.chill_on_return {
                 member.model.chill();
             }
         }
         let out = Out { zones, vms: BTreeSet::new() };
         let text = serde_json::to_string(&out).expect("the document is encoded as JSON");
-        self.platform.publish("out", Some(text));
+        self.scene.platform.publish("out", Some(text));
     }
 
     /// Kills a node with its upstream; another VM takes their place.
     async fn kill(self: Arc<Self>, member: Member, after: Micros) {
         self.remove(&member);
         member.model.crash();
-        self.timer.sleep(LIST_LAG).await;
-        self.platform.publish(&format!("vm/{}", member.vm.0), None);
-        self.timer.sleep(after).await;
+        self.scene.timer.sleep(LIST_LAG).await;
+        self.scene.platform.publish(&format!("vm/{}", member.vm.0), None);
+        self.scene.timer.sleep(after).await;
         let new = self.spawn(&member.zone, &member.service, true);
-        self.timer.sleep(LIST_LAG).await;
+        self.scene.timer.sleep(LIST_LAG).await;
         self.list(&new, false);
     }
 
     fn remove(&self, member: &Member) {
-        self.members.lock().remove(&member.vm);
+        self.scene.members.lock().remove(&member.vm);
         self.links.kill(member.addr);
         member.tasks.iter().for_each(JoinHandle::abort);
-        self.gone.lock().push(member.clone());
+        self.scene.gone.lock().push(member.clone());
     }
 
     /// Stops a node as planned; another VM with a cold upstream takes its place.
@@ -410,16 +333,16 @@
         self.list(&member, true);
         let new = self.spawn(&member.zone, &member.service, true);
         self.list(&new, false);
-        self.timer.sleep(LIST_LAG).await;
+        self.scene.timer.sleep(LIST_LAG).await;
         member.node.drain().await;
         // Callers can no longer connect; their open calls are finished.
-        self.members.lock().remove(&member.vm);
+        self.scene.members.lock().remove(&member.vm);
         member.node.finish().await;
         let running = u64::from(member.model.running()) + member.node.open_calls();
-        self.observer.note(|facts| facts.cut += running);
+        self.scene.observer.note(|facts| facts.cut += running);
         self.remove(&member);
-        self.timer.sleep(LIST_LAG).await;
-        self.platform.publish(&format!("vm/{}", member.vm.0), None);
+        self.scene.timer.sleep(LIST_LAG).await;
+        self.scene.platform.publish(&format!("vm/{}", member.vm.0), None);
     }
 }
 
