Give the rate of cold upstreams a module of its own

Change: moved to cold.rs; nothing else changed. Measured: the tests of admission and noise pass as before.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -5,10 +5,9 @@
 //! has just started (a rate over every sliding second), and an upstream that slows down
 //! when nearly all of its slots are taken (a learned limit below its slots).
 
-use std::collections::VecDeque;
-
+use crate::cold::Cold;
 use crate::knee::Knee;
-use crate::units::{MS, Micros, SEC};
+use crate::units::{MS, Micros};
 
 /// A request that asks to run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -100,13 +99,6 @@
 const RUN_GAIN: f64 = 0.1;
 /// Waiting requests per slot; a longer line is not served in time at any usual deadline.
 const LINE_PER_SLOT: usize = 4;
-/// Share of the published cold rate that is used while the gate may have been killed and
-/// started again within a second, and have used the whole rate before.
-const COLD_SHARE_RESTARTED: f64 = 0.5;
-/// Span of the bound on a cold upstream, with room for transit that varies.
-const COLD_WINDOW: Micros = SEC + 20 * MS;
-/// Time between the starts of an upstream and of its gate that may have started together.
-const COLD_TOGETHER: Micros = 300 * MS;
 /// Shortest time named to a caller that is to come back.
 const RETRY_MIN: Micros = 20 * MS;
 
@@ -117,10 +109,7 @@
     foreign: u32,
     speed_pct: u32,
     closed: bool,
-    cold_until: Micros,
-    unknown_until: Micros,
-    cold_rate: f64,
-    starts: VecDeque<Micros>,
+    cold: Cold,
     running: Vec<Running>,
     queue: Vec<Ask>,
     evicted: Vec<u64>,
@@ -141,10 +130,7 @@
             foreign: 0,
             speed_pct: 100,
             closed: false,
-            cold_until: 0,
-            unknown_until: 0,
-            cold_rate: f64::INFINITY,
-            starts: VecDeque::new(),
+            cold: Cold::default(),
             running: Vec::new(),
             queue: Vec::new(),
             evicted: Vec::new(),
@@ -160,7 +146,7 @@
     /// ```
     pub fn set_limits(&mut self, slots: u32, cold_rate: f64) {
         self.slots = slots.max(1);
-        self.cold_rate = cold_rate;
+        self.cold.set_rate(cold_rate);
     }
 
     /// Applies what the upstream says of itself: requests that run there in all, and how
@@ -180,7 +166,7 @@
     /// bbv_core::admission::Admission::new(9).set_cold(3_000_000);
     /// ```
     pub fn set_cold(&mut self, until: Micros) {
-        self.cold_until = until;
+        self.cold.set_until(until);
     }
 
     /// Records that the gate has just started, so that requests that it does not know of may
@@ -190,7 +176,7 @@
     /// bbv_core::admission::Admission::new(9).restarted(0);
     /// ```
     pub fn restarted(&mut self, now: Micros) {
-        self.unknown_until = now + COLD_WINDOW;
+        self.cold.restarted(now);
     }
 
     /// Records for how long the upstream has been cold. If that is not longer than the gate
@@ -200,9 +186,7 @@
     /// bbv_core::admission::Admission::new(9).cold_for(5_000, 3_000);
     /// ```
     pub fn cold_for(&mut self, now: Micros, age: Micros) {
-        if self.unknown_until + age <= now + COLD_WINDOW + COLD_TOGETHER {
-            self.unknown_until = 0;
-        }
+        self.cold.known_for(now, age);
     }
 
     /// Refuses new requests, or takes them again.
@@ -267,24 +251,7 @@
     /// assert!(!bbv_core::admission::Admission::new(9).cold(1));
     /// ```
     pub fn cold(&self, now: Micros) -> bool {
-        now < self.cold_until
-    }
-
-    /// Time until a cold upstream bears one more request; zero if it does now.
-    fn cold_wait(&mut self, now: Micros) -> Micros {
-        while self.starts.front().is_some_and(|at| at + COLD_WINDOW <= now) {
-            self.starts.pop_front();
-        }
-        if !self.cold(now) {
-            return 0;
-        }
-        let share = if now < self.unknown_until { COLD_SHARE_RESTARTED } else { 1.0 };
-        let allowed = (self.cold_rate * share).floor().max(1.0) as usize;
-        if self.starts.len() < allowed {
-            return 0;
-        }
-        let at = self.starts[self.starts.len() - allowed];
-        (at + COLD_WINDOW).saturating_sub(now)
+        self.cold.is_cold(now)
     }
 
     /// Expected time until a request behind `ahead` waiting ones starts.
@@ -326,7 +293,7 @@
         if self.closed {
             return Offer::Refuse(Refused { reason: Reason::Closed, retry: RETRY_MIN });
         }
-        let cold_wait = self.cold_wait(now);
+        let cold_wait = self.cold.wait(now);
         let ahead = self.queue.iter().filter(|other| other.rank <= ask.rank).count();
         let wait = self.wait(now, ahead).max(cold_wait);
         if now + wait + self.run_time(&ask) > ask.deadline {
@@ -358,7 +325,7 @@
         let roomy = (f64::from(self.slots) * ROOMY_SHARE).floor() as usize;
         let crowded = self.running.len() >= roomy;
         self.running.push(Running { id: ask.id, since: now, work: ask.work, crowded });
-        self.starts.push_back(now);
+        self.cold.start(now);
     }
 
     /// Records that a request ended with an answer, and learns from it.
@@ -404,7 +371,7 @@
     /// ```
     pub fn poll(&mut self, now: Micros, steps: &mut Vec<Step>) {
         self.refuse_waiting(now, steps);
-        while self.running.len() < self.limit(now) as usize && self.cold_wait(now) == 0 {
+        while self.running.len() < self.limit(now) as usize && self.cold.wait(now) == 0 {
             let Some(at) = self.next(now) else { break };
             let ask = self.queue.swap_remove(at);
             self.start(now, ask);
@@ -444,7 +411,7 @@
         let deadline =
             self.queue.iter().map(|ask| ask.deadline - self.run_time(ask).min(ask.deadline));
         let deadline = deadline.min()?;
-        let cold = self.cold_wait(now);
+        let cold = self.cold.wait(now);
         let cold = if cold > 0 { now + cold } else { Micros::MAX };
         Some(deadline.min(cold).max(now + MS))
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod catalogue;
 pub mod chart;
+mod cold;
 pub mod fleet;
 pub mod gate;
 pub mod history;
