--- a/crates/core/src/operation.rs
+++ b/crates/core/src/operation.rs
@@ -151,12 +151,6 @@
         self.records.is_empty()
     }
 
-    /// Operations whose outcome is not settled.
-    pub fn unsettled(&self) -> usize {
-        let open = |record: &&Record<A>| matches!(CHART.name(record.state), "sent" | "doubtful");
-        self.records.values().filter(open).count()
-    }
-
     fn clock(&self, now: Micros) -> Micros {
         now.saturating_add_signed(self.shift)
     }
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -63,11 +63,6 @@
     pub fn latency_ms(&self, quantile: f64) -> f64 {
         self.latency.lock().value_at_quantile(quantile) as f64 / 1_000.0
     }
-
-    /// Added latency at a quantile in milliseconds.
-    pub fn added_ms(&self, quantile: f64) -> f64 {
-        self.added.lock().value_at_quantile(quantile) as f64 / 1_000.0
-    }
 }
 
 /// Load on one target.
