Count calls by service and rank, and serve ages and the cold state

Change: labels service and rank; gauges for running, cold, revision, and two ages. Test: crates/mesh/tests/metrics.rs failed before.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -16,6 +16,7 @@
 
 use crate::answer;
 use crate::event::{self, Event};
+use crate::metrics::Kind;
 use crate::node::{Node, Open};
 
 /// Time that is left where a caller names no deadline.
@@ -79,6 +80,7 @@
     node: Arc<Node>,
     id: Option<HeaderValue>,
     arrived: Micros,
+    kind: Option<Kind>,
     ended: bool,
 }
 
@@ -88,7 +90,7 @@
             return;
         }
         let took = self.node.now() - self.arrived;
-        self.node.metrics.call(CALLER_LEFT, took);
+        self.node.metrics.call(self.kind.as_ref(), CALLER_LEFT, took);
         let id = self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
         event::info(Event::Call, &[("id", &id), ("ended", &CALLER_LEFT), ("took_us", &took)]);
     }
@@ -106,13 +108,19 @@
         let arrived = self.now();
         let _open = Open::new(self);
         let id = request.headers().get(header::ATTEMPT).cloned();
-        let mut pending = Pending { node: Arc::clone(self), id: id.clone(), arrived, ended: false };
+        let node = Arc::clone(self);
+        let mut pending = Pending { node, id: id.clone(), arrived, kind: None, ended: false };
         let mut outcome = match self.accept(request, arrived).await {
-            Ok(call) => self.send(call).await,
+            Ok(call) => {
+                pending.kind = Some(Kind { service: call.service.clone(), rank: call.route.rank });
+                self.send(call).await
+            }
             Err(outcome) => outcome,
         };
         pending.ended = true;
-        self.record(id.as_ref(), &outcome, self.now() - arrived);
+        let took = self.now() - arrived;
+        self.metrics.call(pending.kind.as_ref(), outcome.ended, took);
+        self.record(id.as_ref(), &outcome, took);
         let headers = outcome.response.headers_mut();
         if let (Some(id), false) = (id, headers.contains_key(header::ATTEMPT)) {
             headers.insert(header::ATTEMPT, id);
@@ -124,7 +132,6 @@
     }
 
     fn record(&self, id: Option<&HeaderValue>, outcome: &Outcome, took: Micros) {
-        self.metrics.call(outcome.ended, took);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
         let status = outcome.response.status().as_u16();
         let good = outcome.ended == "answered" && status < 500;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -151,6 +151,9 @@
         }
         let mut state = self.lock();
         let through = state.view.through;
+        if applied.iter().any(|change| matches!(change, Applied::Routed(_))) {
+            state.routed = self.now();
+        }
         for change in applied {
             let change = describe(change);
             let values: [(&str, &dyn std::fmt::Display); 3] =
@@ -188,9 +191,16 @@
         let now = self.now();
         let state = self.lock();
         let version = state.view.routing.as_ref().map_or(0, |routing| routing.version);
-        self.metrics.version.set(version as i64);
-        self.metrics.limit.set(i64::from(state.admission.limit(now)));
-        self.metrics.queued.set(i64::from(state.admission.queued()));
+        let metrics = &self.metrics;
+        let seconds = |since: Micros| now.saturating_sub(since) as f64 / SEC as f64;
+        metrics.version.set(version as i64);
+        metrics.version_age.set(seconds(state.routed));
+        metrics.revision.set(state.view.through as i64);
+        metrics.limit.set(i64::from(state.admission.limit(now)));
+        metrics.running.set(i64::from(state.admission.running()));
+        metrics.queued.set(i64::from(state.admission.queued()));
+        metrics.cold.set(i64::from(state.admission.cold(now)));
+        metrics.report_age.set(seconds(state.own.reported));
     }
 
     /// Records a first request to `service`, which earns a share of a retry.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -66,6 +66,8 @@
 pub(crate) struct State {
     /// What is published.
     pub view: View,
+    /// Time at which the routing in force was learned.
+    pub routed: Micros,
     /// Index of the view.
     pub index: Index,
     /// Admission to the upstream beside this node.
@@ -112,6 +114,7 @@
         admission.restarted(now);
         State {
             view: View::default(),
+            routed: now,
             index: Index::default(),
             admission,
             waiters: HashMap::new(),
--- /dev/null
+++ b/crates/mesh/tests/metrics.rs
@@ -0,0 +1,52 @@
+//! Metrics that a node serves.
+
+use std::time::Duration;
+
+use bbv_stand::client;
+use bbv_stand::fleet::Fleet;
+use bbv_stand::upstream::Habit;
+
+/// Metrics of member `at`, as text.
+async fn metrics(fleet: &Fleet, at: usize) -> String {
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    client::send(fleet.members[at].settings.readiness, text).await.body
+}
+
+/// Value of the metric whose line begins with `name`.
+fn value(text: &str, name: &str) -> Option<f64> {
+    let line = text.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+#[tokio::test]
+async fn calls_are_counted_by_service_rank_and_ending() {
+    let fleet = Fleet::start(&["z"]).await;
+    for at in 0..3 {
+        fleet.get(0, "/get/1", &format!("id-{at}")).await;
+    }
+    fleet.get(0, "/none/1", "id-none").await;
+    fleet.members[0].upstream.set(Habit::LosesAnswer);
+    fleet.post(0, "/post/1", "id-lost").await;
+    let mut text = metrics(&fleet, 0).await;
+    // Until the first health check the upstream counts as cold.
+    while value(&text, "bbv_cold") != Some(0.0) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        text = metrics(&fleet, 0).await;
+    }
+    let cases = [
+        ("bbv_calls_total{ended=\"answered\",rank=\"1\",service=\"s\"}", 3.0),
+        ("bbv_calls_total{ended=\"no-route\",rank=\"none\",service=\"none\"}", 1.0),
+        ("bbv_calls_total{ended=\"lost\",rank=\"1\",service=\"s\"}", 1.0),
+        ("bbv_call_seconds_count{ended=\"answered\",rank=\"1\",service=\"s\"}", 3.0),
+        ("bbv_routing_version", 1.0),
+        ("bbv_revision", fleet.store.revision() as f64),
+        ("bbv_running", 0.0),
+    ];
+    for (name, expected) in cases {
+        assert_eq!(value(&text, name), Some(expected), "{name}\n{text}");
+    }
+    for name in ["bbv_routing_age_seconds", "bbv_report_age_seconds"] {
+        let age = value(&text, name).expect(name);
+        assert!((0.0..60.0).contains(&age), "{name} {age}");
+    }
+}
