--- a/crates/soak/src/versions.rs
+++ b/crates/soak/src/versions.rs
@@ -33,30 +33,44 @@
     pub stop: Arc<AtomicBool>,
 }
 
+/// What a node has shown.
+#[derive(Clone, Copy)]
+struct Shown {
+    version: u64,
+    /// Version that it showed before, or 0.
+    before: u64,
+    /// Start of the process that showed it.
+    start: u64,
+}
+
 impl Watch {
     /// Looks at the node until told to stop, and records each step back.
     pub async fn run(self, name: String, ledger: Arc<Ledger>) {
-        // Version seen in force, the one before it, and the start of the process that showed it.
-        let mut seen: Option<(u64, u64, u64)> = None;
+        let mut shown: Option<Shown> = None;
         while !self.stop.load(Ordering::Relaxed) {
             tokio::time::sleep(PAUSE).await;
-            let start = self.starts.load(Ordering::SeqCst);
-            if let Some((version, before, _)) = seen.filter(|(_, _, at)| *at == start) {
-                let back = before > 0 && self.in_force(before).await;
-                if back && self.starts.load(Ordering::SeqCst) == start {
-                    ledger.breach(format!("{name} went from version {version} back to {before}"));
-                }
+            if let Some(Shown { version, before, start }) = shown
+                && before > 0
+                && self.shows(before, start).await
+            {
+                ledger.breach(format!("{name} went from version {version} back to {before}"));
             }
-            let newest = self.newest.load(Ordering::SeqCst);
-            if seen.is_none_or(|(version, _, _)| version < newest) && self.in_force(newest).await {
-                let before = seen.map_or(0, |(version, _, _)| version);
-                if self.starts.load(Ordering::SeqCst) == start {
-                    seen = Some((newest, before, start));
-                }
+            let (version, start) =
+                (self.newest.load(Ordering::SeqCst), self.starts.load(Ordering::SeqCst));
+            let newer = shown.is_none_or(|shown| shown.version < version);
+            if newer && self.shows(version, start).await {
+                let before = shown.map_or(0, |shown| shown.version);
+                shown = Some(Shown { version, before, start });
             }
         }
     }
 
+    /// Whether version `version` is in force at the process of start `start`.
+    async fn shows(&self, version: u64, start: u64) -> bool {
+        let same = || self.starts.load(Ordering::SeqCst) == start;
+        same() && self.in_force(version).await && same()
+    }
+
     async fn in_force(&self, version: u64) -> bool {
         let path = format!("/{}/1", marker(version));
         let text = client::request("GET", &path, "probe", DEADLINE_MS, "");
