Bound what upstreams, peers and the store may send, and trust only answers with the attempt's id

Cause: by reading, bodies were collected without a bound at the gate, at the ingress, in pulls and from the store, so that one upstream sending without end could fill the process; interim responses, chunk extensions and trailers were read as long as they came. A late copy of an answer without an attempt id passed as the answer to the next request, also one that says 'not run', and a health check took any copy for a health response, which made a cold upstream warm. A 503 without the upstream's word that the request had not run was passed on as such a promise. Change: a budget of memory for the bodies of responses and one for those of requests (settings response_memory_mb and request_memory_mb); connections count the bytes that may still arrive, for a head and for a body; passing a bound closes the connection and ends the request as lost. Answers need the attempt's id; a status that promises 'not run' needs the upstream's statement; health checks need an instance and no attempt id.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,9 +5,9 @@
 //!
 //! Two programs use this crate, and most modules serve only one of them:
 //!
-//! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`history`],
-//!   [`index`], [`placement`], [`readers`], [`retry_budget`], [`route`], [`slow_period`] and
-//!   [`view`].
+//! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
+//!   [`history`], [`index`], [`placement`], [`readers`], [`retry_budget`], [`route`],
+//!   [`slow_period`] and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
@@ -17,6 +17,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod balancer;
+pub mod body_budget;
 pub mod catalogue;
 pub mod chart;
 mod cold;
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -242,9 +242,10 @@
         let request = request.body(Full::new(Bytes::new())).map_err(|error| error.to_string())?;
         let received = self.peer_pool.send(gate, request).await;
         let (response, conn) = received.map_err(|error| error.to_string())?;
-        let body = response.into_body().collect().await.map_err(|error| error.to_string())?;
+        let body = self.peer_pool.read_body(response.into_body(), &conn).await;
+        let body = body.map_err(|error| error.to_string())?;
         self.peer_pool.put(conn, None);
-        serde_json::from_slice(&body.to_bytes()).map_err(|error| error.to_string())
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
     }
 
     /// Handles a peer's request for the changes after a revision.
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -13,14 +13,16 @@
 use bbv_core::units::{MS, Micros};
 use bbv_platform::header;
 use bytes::Bytes;
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
+use crate::body::{self, BodyError};
 use crate::event::{self, Event};
+use crate::ingress::DEFAULT_RETRY_AFTER;
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::{Node, OpenRequest};
 use crate::pool::{Connection, SendError};
@@ -49,6 +51,17 @@
     pub response: Option<Response<Full<Bytes>>>,
 }
 
+impl GateResult {
+    /// Builds the response to the ingress.
+    fn into_response(self) -> Response<Full<Bytes>> {
+        let name = self.reply.outcome.name();
+        let local = || response::local(StatusCode::SERVICE_UNAVAILABLE, name);
+        let mut response = self.response.unwrap_or_else(local);
+        self.reply.write(response.headers_mut());
+        response
+    }
+}
+
 /// Admission of one request; released when dropped.
 struct Permit {
     node: Arc<Node>,
@@ -161,23 +174,33 @@
         self.lock().recent_ingresses.insert(from, arrived);
         let id = head.headers.get(header::ATTEMPT_ID).cloned();
         let completion = self.admit_and_run(&metadata, head, body, arrived).await;
+        self.conclude(id.as_ref(), &metadata, completion, arrived)
+    }
+
+    /// Counts and logs the outcome of a request that arrived at `arrived`, and adds the load.
+    fn conclude(
+        &self,
+        id: Option<&HeaderValue>,
+        metadata: &GateRequest,
+        completion: Completion,
+        arrived: Micros,
+    ) -> GateResult {
         self.metrics.admitted.with_label_values(&[completion.outcome.name()]).inc();
         let now = self.now();
         let state = self.lock();
         let (report, revision) = (state.load_report(now), state.view.through);
         let report_age = now.saturating_sub(state.local.reported_at);
         drop(state);
-        let elapsed = now - arrived;
         let reply = GateReply {
             outcome: completion.outcome,
             retry_after: completion.retry_after,
             service_time: completion.service_time,
-            elapsed,
+            elapsed: now - arrived,
             report,
             revision,
         };
-        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
-        log_outcome(id, &metadata, &reply, &completion.cause, report_age);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
+        log_outcome(id, metadata, &reply, &completion.cause, report_age);
         GateResult { reply, response: completion.response }
     }
 
@@ -330,7 +353,7 @@
         if let ResponseCheck::Invalid(cause) = check {
             return Err(Completion::failed(GateOutcome::Lost, cause.to_owned()));
         }
-        let body = self.collect_body(&head, body, conn).await;
+        let body = self.read_answer(&head, body, conn).await;
         let body =
             body.map_err(|error| Completion::failed(GateOutcome::Lost, error.to_string()))?;
         if check == ResponseCheck::NotRun {
@@ -343,13 +366,13 @@
     }
 
     /// Reads a complete body and returns the connection to the pool.
-    async fn collect_body(
+    async fn read_answer(
         &self,
         head: &http::response::Parts,
         body: Incoming,
         conn: Connection,
-    ) -> Result<Bytes, hyper::Error> {
-        let body = body.collect().await?.to_bytes();
+    ) -> Result<Bytes, BodyError> {
+        let body = self.upstream_pool.read_body(body, &conn).await?;
         let idle_timeout = response::keep_alive_timeout(&head.headers);
         self.upstream_pool
             .put(conn, idle_timeout.map(|timeout| timeout.saturating_sub(IDLE_MARGIN)));
@@ -377,20 +400,24 @@
         let Some(metadata) = GateRequest::extract(&mut head.headers) else {
             return self.serve_changes(&head);
         };
-        let body = match body.collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
+        let arrived = self.now();
+        let max_bytes = self.lock().max_body_bytes();
+        let body = match body::collect(body, max_bytes, &self.request_bodies).await {
+            Ok(body) => body,
+            Err(error @ BodyError::Broken(_)) => {
                 event::info(Event::CallBroken, &[("from", &from), ("why", &error)]);
                 return response::local(StatusCode::BAD_REQUEST, "broken");
             }
+            Err(error) => {
+                event::info(Event::CallBroken, &[("from", &from), ("why", &error)]);
+                let refused = GateOutcome::Refused(RefusalReason::Full);
+                let completion = Completion::refused(refused, DEFAULT_RETRY_AFTER);
+                let id = head.headers.get(header::ATTEMPT_ID);
+                return self.conclude(id, &metadata, completion, arrived).into_response();
+            }
         };
         head.headers.remove(CONTENT_LENGTH);
         response::strip_hop_headers(&mut head.headers);
-        let result = self.run_locally(from, metadata, head, body).await;
-        let mut response = result.response.unwrap_or_else(|| {
-            response::local(StatusCode::SERVICE_UNAVAILABLE, result.reply.outcome.name())
-        });
-        result.reply.write(response.headers_mut());
-        response
+        self.run_locally(from, metadata, head, body).await.into_response()
     }
 }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -11,10 +11,11 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use siphasher::sip::SipHasher13;
 
+use crate::body::{self, BodyError};
 use crate::event::{self, Event};
 use crate::metrics::RouteLabels;
 use crate::node::{Node, OpenRequest};
@@ -199,13 +200,17 @@
         max_bytes: usize,
         deadline: Micros,
     ) -> Result<Bytes, CallOutcome> {
-        if body.size_hint().lower() > max_bytes as u64 {
-            return Err(CallOutcome::error(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"));
-        }
-        let limited = Limited::new(body, max_bytes);
-        match self.timer.timeout_at(deadline, limited.collect()).await {
-            Some(Ok(body)) => Ok(body.to_bytes()),
-            Some(Err(error)) => {
+        let body = body::collect(body, max_bytes, &self.request_bodies);
+        match self.timer.timeout_at(deadline, body).await {
+            Some(Ok(body)) => Ok(body),
+            Some(Err(BodyError::TooLarge(_))) => {
+                Err(CallOutcome::error(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"))
+            }
+            Some(Err(BodyError::NoMemory(error))) => {
+                event::info(Event::CallBroken, &[("why", &error)]);
+                Err(CallOutcome::refused("no-memory", DEFAULT_RETRY_AFTER))
+            }
+            Some(Err(error @ BodyError::Broken(_))) => {
                 event::info(Event::CallBroken, &[("why", &error)]);
                 Err(CallOutcome::error(StatusCode::BAD_REQUEST, "body-broken"))
             }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,12 +4,14 @@
 //! upstream that runs the request is its *gate*, through which all requests to that upstream
 //! pass. `bbv-core` makes the decisions; this crate does the I/O and supplies the time.
 
+mod body;
 pub mod event;
 mod follow;
 mod gate;
 mod ingress;
 pub mod logs;
 mod message;
+mod metered;
 mod metrics;
 mod node;
 mod notice;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bbv_core::admission::AdmissionDequeued;
+use bbv_core::body_budget::BodyBudget;
 use bbv_core::route::Name;
 use bbv_core::units::{Micros, Revision, SEC};
 use bbv_core::view::Effect;
@@ -36,6 +37,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) peer_pool: Pool,
     pub(crate) upstream_pool: Pool,
+    pub(crate) request_bodies: Arc<Mutex<BodyBudget>>,
     pub(crate) open_requests: AtomicU64,
     pub(crate) notice_socket: OnceLock<Arc<UdpSocket>>,
     next_id: AtomicU64,
@@ -66,12 +68,13 @@
     pub(crate) fn new(settings: Settings) -> Arc<Self> {
         let timer = Timer::real();
         let state = State::new(timer.now(), &settings, SmallRng::from_os_rng());
+        let bodies = Arc::new(Mutex::new(BodyBudget::new(settings.response_memory)));
         Arc::new(Node {
-            settings,
             timer,
             metrics: Metrics::new(),
-            peer_pool: Pool::new(CONNECT_TIMEOUT, PEER_IDLE_TIMEOUT),
-            upstream_pool: Pool::new(CONNECT_TIMEOUT, UPSTREAM_IDLE_TIMEOUT),
+            peer_pool: Pool::new(CONNECT_TIMEOUT, PEER_IDLE_TIMEOUT, Arc::clone(&bodies)),
+            upstream_pool: Pool::new(CONNECT_TIMEOUT, UPSTREAM_IDLE_TIMEOUT, bodies),
+            request_bodies: Arc::new(Mutex::new(BodyBudget::new(settings.request_memory))),
             open_requests: AtomicU64::new(0),
             notice_socket: OnceLock::new(),
             next_id: AtomicU64::new(1),
@@ -79,6 +82,7 @@
             leaving: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             state: Mutex::new(state),
+            settings,
         })
     }
 
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -4,8 +4,10 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bbv_core::body_budget::BodyBudget;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -17,7 +19,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::body::{self, BodyError};
 use crate::event::{self, Event};
+use crate::metered::{Allowance, Metered};
 
 /// Why a request has no response.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,6 +47,7 @@
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    allowance: Allowance,
     idle_since: Instant,
     idle_timeout: Duration,
 }
@@ -59,16 +64,41 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     connect_timeout: Duration,
     idle_timeout: Duration,
+    bodies: Arc<Mutex<BodyBudget>>,
 }
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDR: usize = 64;
+/// Bytes that may arrive until a response head is complete, interim responses included.
+const MAX_HEAD_BYTES: u64 = 128 * 1_024;
+/// Size of the read buffer, which a response head has to fit into.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
+/// Bytes that may arrive per byte of a body, with chunk sizes, chunk extensions and trailers.
+const BYTES_PER_BODY_BYTE: u64 = 2;
 
 impl Pool {
-    /// Creates a pool that connects within `connect_timeout` and reuses connections that were idle
-    /// for at most `idle_timeout`.
-    pub fn new(connect_timeout: Duration, idle_timeout: Duration) -> Self {
-        Pool { idle: Mutex::default(), connect_timeout, idle_timeout }
+    /// Creates a pool that connects within `connect_timeout`, reuses connections that were idle
+    /// for at most `idle_timeout`, and reads bodies within the budget `bodies`.
+    pub fn new(
+        connect_timeout: Duration,
+        idle_timeout: Duration,
+        bodies: Arc<Mutex<BodyBudget>>,
+    ) -> Self {
+        Pool { idle: Mutex::default(), connect_timeout, idle_timeout, bodies }
+    }
+
+    /// Reads the complete body of a response that arrived on `conn`.
+    ///
+    /// After an error the connection must not be used again; dropping it closes it.
+    pub(crate) async fn read_body(
+        &self,
+        body: Incoming,
+        conn: &Connection,
+    ) -> Result<Bytes, BodyError> {
+        let limit = self.bodies.lock().limit();
+        let bytes = (limit as u64).saturating_mul(BYTES_PER_BODY_BYTE);
+        conn.allowance.set(MAX_HEAD_BYTES + bytes);
+        body::collect(body, limit, &self.bodies).await
     }
 
     /// Sends a request on an idle or a new connection.
@@ -81,6 +111,7 @@
     ) -> Result<(Response<Incoming>, Connection), SendError> {
         let mut request = request;
         while let Some(mut conn) = self.take_idle(addr) {
+            conn.allowance.set(MAX_HEAD_BYTES);
             match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, conn)),
                 Err(mut error) => match error.take_message() {
@@ -117,7 +148,11 @@
             stream.map_err(|_| format!("no connection within {:?}", self.connect_timeout))?;
         let stream = stream.map_err(|error| error.to_string())?;
         bbv_net::set_tcp_options(&stream).map_err(|error| error.to_string())?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = Allowance::default();
+        allowance.set(MAX_HEAD_BYTES);
+        let stream = TokioIo::new(Metered::new(stream, allowance.clone()));
+        let handshake =
+            http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream).await;
         let (sender, driver) = handshake.map_err(|error| describe_error(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = driver.await {
@@ -126,7 +161,8 @@
             }
         });
         let idle_timeout = self.idle_timeout;
-        Ok(Connection { addr, sender, driver, idle_since: Instant::now(), idle_timeout })
+        let idle_since = Instant::now();
+        Ok(Connection { addr, sender, driver, allowance, idle_since, idle_timeout })
     }
 
     /// Returns a connection to the pool after its response was read completely.
@@ -145,7 +181,7 @@
     }
 }
 
-fn describe_error(error: &hyper::Error) -> String {
+pub(crate) fn describe_error(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
         Some(source) => format!("{error}: {source}"),
         None => error.to_string(),
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 
 use crate::event::{self, Event};
 use crate::message::GateRequest;
@@ -58,8 +58,13 @@
         match self.timer.timeout_at(deadline, sent).await {
             Some(Ok((response, conn))) => {
                 let (head, body) = response.into_parts();
-                let collected = self.timer.timeout_at(deadline, body.collect()).await;
-                if matches!(collected, Some(Ok(_))) {
+                if !header::is_health(&head.headers) {
+                    // A late copy of an answer; the connection is closed with it.
+                    event::info(Event::ProbeFailed, &[("why", &"not a health response")]);
+                    return;
+                }
+                let body = self.upstream_pool.read_body(body, &conn);
+                if let Some(Ok(_)) = self.timer.timeout_at(deadline, body).await {
                     self.upstream_pool.put(conn, None);
                 }
                 self.apply_health(&head.headers);
--- a/crates/mesh/src/response.rs
+++ b/crates/mesh/src/response.rs
@@ -22,19 +22,36 @@
     Invalid(&'static str),
 }
 
+/// Statuses that tell a caller that the request did not run and never will.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Checks the head of a response against the attempt id of the request.
+///
+/// A response without the id may be a late copy of an earlier one, so that neither its body nor
+/// its claim that the request did not run can be trusted.
 pub(crate) fn check(
     status: StatusCode,
     headers: &HeaderMap,
     attempt: Option<&HeaderValue>,
 ) -> ResponseCheck {
-    let echoed = headers.get(header::ATTEMPT_ID);
-    if echoed.is_some() && attempt.is_some() && echoed != attempt {
-        return ResponseCheck::Invalid("response has the attempt id of another request");
+    match headers.get(header::ATTEMPT_ID) {
+        None => return ResponseCheck::Invalid("response has no attempt id"),
+        echoed if echoed != attempt => {
+            return ResponseCheck::Invalid("response has the attempt id of another request");
+        }
+        Some(_) => {}
     }
     if header::not_run(status, headers) {
         return ResponseCheck::NotRun;
     }
+    if NOT_RUN_STATUSES.contains(&status) {
+        return ResponseCheck::Invalid("response denies a run without the upstream's word");
+    }
     if status.is_success() && !header::is_signed(headers) {
         return ResponseCheck::Invalid("response is not signed");
     }
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -9,7 +9,7 @@
 use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use rand::Rng;
 
 use crate::event::{self, Event};
@@ -348,8 +348,8 @@
             Err(SendError::Lost(cause)) => return SendResult::Lost(cause),
         };
         let (mut head, body) = response.into_parts();
-        let body = match body.collect().await {
-            Ok(body) => body.to_bytes(),
+        let body = match self.peer_pool.read_body(body, &conn).await {
+            Ok(body) => body,
             Err(error) => return SendResult::Lost(error.to_string()),
         };
         self.peer_pool.put(conn, None);
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -34,6 +34,10 @@
     pub retries: RetryLimit,
     /// Cost of a kilobyte sent between zones, as a share of the loss of a request.
     pub zone_kb_cost: f64,
+    /// Maximum number of bytes that the bodies of requests take at once.
+    pub request_memory: usize,
+    /// Maximum number of bytes that the bodies of responses take at once.
+    pub response_memory: usize,
     /// Additional address for metrics, if any.
     pub metrics: Option<SocketAddr>,
 }
@@ -42,6 +46,12 @@
 const MAX_GRACE_S: f64 = 3_600.0;
 const DEFAULT_ZONE_KB_COST: f64 = 0.2;
 const MAX_ZONE_KB_COST: f64 = 100.0;
+const DEFAULT_REQUEST_MEMORY_MB: f64 = 64.0;
+/// More than a VM's link of 20 Mbit/s carries within usual deadlines.
+const DEFAULT_RESPONSE_MEMORY_MB: f64 = 8.0;
+const MAX_MEMORY_MB: f64 = 65_536.0;
+const MIN_MEMORY_MB: f64 = 0.1;
+const BYTES_PER_MB: f64 = 1_048_576.0;
 const MAX_RETRY_BURST: f64 = 1e6;
 const MAX_RETRY_WINDOW_S: f64 = 3_600.0;
 
@@ -74,6 +84,11 @@
     }
 }
 
+fn memory(root: &mut YamlReader<'_>, key: &str, default_mb: f64) -> usize {
+    let mb = root.optional_float(key, MIN_MEMORY_MB..=MAX_MEMORY_MB).unwrap_or(default_mb);
+    (mb * BYTES_PER_MB) as usize
+}
+
 impl Default for Settings {
     /// Returns the default settings, with port 0 of the loopback interface for every address.
     fn default() -> Self {
@@ -91,6 +106,8 @@
             grace: (DEFAULT_GRACE_S * SEC as f64) as Micros,
             retries: RetryLimit::default(),
             zone_kb_cost: DEFAULT_ZONE_KB_COST,
+            request_memory: (DEFAULT_REQUEST_MEMORY_MB * BYTES_PER_MB) as usize,
+            response_memory: (DEFAULT_RESPONSE_MEMORY_MB * BYTES_PER_MB) as usize,
             metrics: None,
         }
     }
@@ -121,6 +138,8 @@
             zone_kb_cost: root
                 .optional_float("zone_kb_cost", 0.0..=MAX_ZONE_KB_COST)
                 .unwrap_or(DEFAULT_ZONE_KB_COST),
+            request_memory: memory(root, "request_memory_mb", DEFAULT_REQUEST_MEMORY_MB),
+            response_memory: memory(root, "response_memory_mb", DEFAULT_RESPONSE_MEMORY_MB),
             metrics: optional_addr(root, "metrics"),
         })
     }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -173,6 +173,11 @@
         self.view.routing.as_ref()?.services.get(settings.service.as_str())
     }
 
+    /// Returns the limit on the body of a request; there is none before a routing is known.
+    pub fn max_body_bytes(&self) -> usize {
+        self.view.routing.as_ref().map_or(usize::MAX, |routing| routing.limits.body)
+    }
+
     /// Applies the view to admission and removes statistics of upstreams that are gone.
     pub fn apply_view(&mut self, settings: &Settings) {
         self.index = Index::new(&self.view);
