Learn the fleet from stale listings, and read the store only where peers cannot help

Change: a starting node lists with stale reads, which cost a tenth, and serves callers only once the store or a peer that is confirmed itself has confirmed the view, so that an upstream that has left is not used again after a restart. Nodes of higher weight read first. A node whose upstream is not listed pulls from peers and reads only after 1.5 s without a successful pull. In a zone of 12 nodes or more one reader is enough, since notices from other zones bring revisions many times a second. Tests: knowledge.rs, a node that starts after an upstream left, and a zone of 16 that starts with at most 16 calls.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -17,11 +17,19 @@
     zone: Vec<u8>,
     last_seen: BTreeMap<u64, Micros>,
     reading: bool,
-    shortage_since: Option<Micros>,
+    /// Time at which this node becomes a reader if there are too few until then.
+    reads_at: Option<Micros>,
+    /// Target number of readers in the zone.
+    target: usize,
 }
 
 /// Target number of readers in a zone.
 const READERS_PER_ZONE: usize = 2;
+/// Number of nodes from which one reader is enough: in a large zone, notices from other zones tell
+/// of a new revision many times a second, also if the reader fails.
+const LARGE_ZONE: usize = 12;
+/// Additional delay of a starting node for each node of higher weight, which should read first.
+const START_STEP: Micros = 15 * MS;
 /// Time without a heartbeat after which a reader counts as gone: three heartbeats.
 pub const READER_TIMEOUT: Micros = 700 * MS;
 /// Longest additional delay before a node becomes a reader. It differs from node to node, so that
@@ -36,7 +44,40 @@
     /// ```
     pub fn new(node: u64, zone: &str) -> Self {
         let zone = zone.as_bytes().to_vec();
-        Readers { node, zone, last_seen: BTreeMap::new(), reading: false, shortage_since: None }
+        Readers {
+            node,
+            zone,
+            last_seen: BTreeMap::new(),
+            reading: false,
+            reads_at: None,
+            target: READERS_PER_ZONE,
+        }
+    }
+
+    /// Sets the number of nodes in the zone.
+    ///
+    /// ```
+    /// bbv_core::readers::Readers::new(1, "z").set_zone_size(60);
+    /// ```
+    pub fn set_zone_size(&mut self, nodes: usize) {
+        self.target = if nodes < LARGE_ZONE { READERS_PER_ZONE } else { 1 };
+    }
+
+    /// Records that this node has just started and knows the other nodes `others` of its zone.
+    ///
+    /// It does not wait for heartbeats of readers for as long as a running node, since the whole
+    /// zone may have started. Nodes of higher weight go first.
+    ///
+    /// ```
+    /// let mut readers = bbv_core::readers::Readers::new(1, "z");
+    /// readers.start(0, &[]);
+    /// assert!(readers.decide(0), "there is no other node");
+    /// ```
+    pub fn start(&mut self, now: Micros, others: &[u64]) {
+        let own = self.weight(self.node);
+        let higher = others.iter().filter(|other| self.weight(**other) > own).count();
+        let delay = (higher as Micros * START_STEP).min(MAX_DELAY);
+        self.reads_at = Some(now + delay);
     }
 
     /// Records a heartbeat from node `other` of the same zone.
@@ -61,6 +102,16 @@
         self.reading
     }
 
+    /// Makes this node stop reading, as others do not hear from it.
+    ///
+    /// ```
+    /// bbv_core::readers::Readers::new(1, "z").stop();
+    /// ```
+    pub fn stop(&mut self) {
+        self.reading = false;
+        self.reads_at = None;
+    }
+
     /// Decides whether this node is a reader from now on.
     ///
     /// ```
@@ -73,17 +124,18 @@
         if self.reading {
             let own = self.weight(self.node);
             let higher = self.last_seen.keys().filter(|other| self.weight(**other) > own).count();
-            self.reading = higher < READERS_PER_ZONE;
+            self.reading = higher < self.target;
             return self.reading;
         }
-        if self.last_seen.len() >= READERS_PER_ZONE {
-            self.shortage_since = None;
+        if self.last_seen.len() >= self.target {
+            self.reads_at = None;
             return false;
         }
-        let since = *self.shortage_since.get_or_insert(now);
-        self.reading = now >= since + READER_TIMEOUT + self.delay();
+        let timeout = now + READER_TIMEOUT + self.delay();
+        let at = *self.reads_at.get_or_insert(timeout);
+        self.reading = now >= at;
         if self.reading {
-            self.shortage_since = None;
+            self.reads_at = None;
         }
         self.reading
     }
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -7,7 +7,7 @@
 
 use bbv_core::units::{MS, Micros, Revision};
 use bbv_core::view::{Effect, View, ViewChange};
-use bbv_platform::store::{Changes, StoreClient, StoreError};
+use bbv_platform::store::{Changes, Freshness, StoreClient, StoreError};
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
@@ -18,6 +18,7 @@
 
 use crate::event::{self, Event};
 use crate::node::Node;
+use crate::notice::vm_of;
 use crate::response;
 
 /// Longest time for which a watch call waits for changes.
@@ -38,6 +39,19 @@
 const MAX_PULL_DELAY: Micros = 200 * MS;
 /// Interval at which a node that is not a reader checks whether it should become one.
 const READER_CHECK_INTERVAL: Micros = 100 * MS;
+/// Interval of that check until the view is confirmed.
+const CONFIRM_CHECK_INTERVAL: Micros = 5 * MS;
+/// Interval of listings while a starting node does not know the fleet yet.
+const START_LIST_INTERVAL: Micros = 800 * MS;
+/// Time for which a starting node that knows the routing waits for its own upstream to register,
+/// since the whole fleet registers then.
+const REGISTRATION_PATIENCE: Micros = 3_000 * MS;
+/// Interval of pulls of a starting node until a peer confirms its view.
+const START_PULL_INTERVAL: Micros = 200 * MS;
+/// Interval of pulls of a node that other nodes do not know.
+const UNKNOWN_PULL_INTERVAL: Micros = 300 * MS;
+/// Time without a successful pull after which such a node may become a reader.
+const ISOLATION_TIMEOUT: Micros = 1_500 * MS;
 /// Path at which nodes serve the changes after a revision to each other.
 const CHANGES_PATH: &str = "/bbv/changes";
 
@@ -66,30 +80,110 @@
 }
 
 impl Node {
-    /// Follows the store for the lifetime of the process: lists it once, then watches it while this
-    /// node is a reader of its zone.
+    /// Learns the fleet from listings that may be seconds old, until a peer has confirmed the view
+    /// or the fleet is complete enough to have readers.
+    async fn learn_fleet(&self, store: &mut StoreClient) {
+        let mut lost = false;
+        loop {
+            let result = store.list(Freshness::Stale).await;
+            self.count_store_call(&result);
+            match result {
+                Ok(listing) => self.apply_listing(listing),
+                Err(error) if !std::mem::replace(&mut lost, true) => {
+                    event::warn(
+                        Event::StoreLost,
+                        &[("revision", &self.revision()), ("why", &error)],
+                    );
+                }
+                Err(_) => {}
+            }
+            let next_at = self.now() + START_LIST_INTERVAL;
+            while self.now() < next_at {
+                if self.knows_fleet() || self.pull_from_any().await {
+                    return;
+                }
+                self.timer.sleep(START_PULL_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Returns whether the routing is known and other nodes know this one.
+    fn knows_fleet(&self) -> bool {
+        let now = self.now();
+        let state = self.lock();
+        let patient = now < state.routed_at + REGISTRATION_PATIENCE;
+        let registered = state.local_entry(&self.settings).is_some();
+        state.confirmed || state.view.routing.is_some() && (registered || !patient)
+    }
+
+    /// Pulls changes from a random node, of this zone if possible; returns whether that succeeded.
+    async fn pull_from_any(&self) -> bool {
+        let zone_peer = {
+            let peers = self.zone_peers();
+            peers.into_iter().choose(&mut self.lock().rng)
+        };
+        match zone_peer.or_else(|| self.random_peer()) {
+            Some(peer) => self.pull_from(peer).await,
+            None => false,
+        }
+    }
+
+    /// Returns whether other nodes do not know this one, since its upstream is not listed. Their
+    /// heartbeats do not reach it then.
+    fn is_unknown_to_peers(&self) -> bool {
+        let state = self.lock();
+        let own = self.settings.peers.ip();
+        state.local_entry(&self.settings).is_none() && state.index.vms().any(|(ip, _)| ip != own)
+    }
+
+    /// Follows the store for the lifetime of the process: learns the fleet, then watches the store
+    /// while this node is a reader of its zone.
     pub(crate) async fn follow_store(self: Arc<Self>) {
         let mut store = StoreClient::new(self.settings.platform);
+        self.learn_fleet(&mut store).await;
+        let others: Vec<u64> =
+            self.zone_peers().into_iter().map(|ip| u64::from(vm_of(ip).0)).collect();
+        let now = self.now();
+        self.lock().readers.start(now, &others);
         let mut backoff = MIN_BACKOFF;
-        let mut listed = false;
+        let mut listed = true;
         let mut store_lost = false;
         let mut reachable = false;
+        let mut pulled_at = now;
         loop {
             let now = self.now();
+            let unknown = self.is_unknown_to_peers();
+            if listed && unknown && now < pulled_at + ISOLATION_TIMEOUT {
+                self.lock().readers.stop();
+                if self.pull_from_any().await {
+                    pulled_at = self.now();
+                }
+                self.timer.sleep(UNKNOWN_PULL_INTERVAL).await;
+                continue;
+            }
+            if !unknown {
+                pulled_at = now;
+            }
             if listed && !self.lock().readers.decide(now) {
                 // The readers of the zone detect the end of an outage that began while this node
                 // was a reader.
                 store_lost = false;
                 reachable = false;
-                self.timer.sleep(READER_CHECK_INTERVAL).await;
+                let confirmed = self.lock().confirmed;
+                let interval =
+                    if confirmed { READER_CHECK_INTERVAL } else { CONFIRM_CHECK_INTERVAL };
+                self.timer.sleep(interval).await;
                 continue;
             }
             let after = self.lock().view.through;
             // The first call does not wait for changes, so it shows at once whether the store is
             // reachable.
             let timeout = if reachable { WATCH_TIMEOUT } else { Duration::ZERO };
-            let result =
-                if listed { store.watch(after, timeout).await } else { store.list().await };
+            let result = if listed {
+                store.watch(after, timeout).await
+            } else {
+                store.list(Freshness::Current).await
+            };
             self.count_store_call(&result);
             match result {
                 Ok(changes) => {
@@ -100,13 +194,13 @@
                     }
                     backoff = MIN_BACKOFF;
                     reachable = true;
-                    self.lock().store_failed = false;
                     if listed {
                         self.apply_watched(after, changes)
                     } else {
                         self.apply_listing(changes)
                     }
                     listed = true;
+                    self.confirm_view();
                     self.timer.sleep(BATCH_DELAY).await;
                 }
                 Err(StoreError::HistoryGone) => {
@@ -128,6 +222,13 @@
         }
     }
 
+    /// Records that the store, which can be reached, has confirmed the view.
+    fn confirm_view(&self) {
+        let mut state = self.lock();
+        state.store_failed = false;
+        state.confirmed = true;
+    }
+
     fn count_store_call(&self, result: &Result<Changes, StoreError>) {
         let result = match result {
             Ok(_) => "ok",
@@ -184,20 +285,29 @@
     pub(crate) async fn pull_changes(self: Arc<Self>) {
         let delay = if self.reads_store() { READER_PULL_DELAY } else { self.pull_delay() };
         self.timer.sleep(delay).await;
-        let before = self.revision();
         if let Some(from) = self.newer_peer() {
-            let deadline = self.now() + PULL_TIMEOUT;
-            match self.timer.timeout_at(deadline, self.fetch_changes(from, before)).await {
-                Some(Ok(reply)) => self.apply_reply(before, reply),
-                Some(Err(error)) => {
-                    event::info(Event::PullFailed, &[("from", &from), ("why", &error)]);
-                }
-                None => event::info(Event::PullFailed, &[("from", &from), ("why", &"late")]),
-            }
+            self.pull_from(from).await;
         }
         self.lock().pulling = false;
     }
 
+    /// Pulls changes from a peer; returns whether that succeeded.
+    async fn pull_from(&self, from: IpAddr) -> bool {
+        let before = self.revision();
+        let deadline = self.now() + PULL_TIMEOUT;
+        match self.timer.timeout_at(deadline, self.fetch_changes(from, before)).await {
+            Some(Ok(reply)) => {
+                self.apply_reply(before, reply);
+                return true;
+            }
+            Some(Err(error)) => {
+                event::info(Event::PullFailed, &[("from", &from), ("why", &error)]);
+            }
+            None => event::info(Event::PullFailed, &[("from", &from), ("why", &"late")]),
+        }
+        false
+    }
+
     /// Returns a random delay, which spreads the pulls of a zone over the nodes that are already
     /// up to date.
     fn pull_delay(&self) -> Micros {
@@ -219,7 +329,11 @@
 
     fn apply_reply(&self, before: Revision, reply: SyncReply) {
         let now = self.now();
-        self.lock().view.extend_grace(now, reply.keep);
+        {
+            let mut state = self.lock();
+            state.view.extend_grace(now, reply.keep);
+            state.confirmed = true;
+        }
         match reply.content {
             Content::Delta(delta) => self.apply_delta("peer", before, &delta),
             Content::Snapshot(view) => {
@@ -242,9 +356,13 @@
         let request = request.body(Full::new(Bytes::new())).map_err(|error| error.to_string())?;
         let received = self.peer_pool.send(gate, request).await;
         let (response, conn) = received.map_err(|error| error.to_string())?;
+        let status = response.status();
         let body = self.peer_pool.read_body(response.into_body(), &conn).await;
         let body = body.map_err(|error| error.to_string())?;
         self.peer_pool.put(conn, None);
+        if status != StatusCode::OK {
+            return Err(format!("status {}", status.as_u16()));
+        }
         serde_json::from_slice(&body).map_err(|error| error.to_string())
     }
 
@@ -258,6 +376,9 @@
         let reply = {
             let now = self.now();
             let state = self.lock();
+            if !state.confirmed {
+                return response::local(StatusCode::SERVICE_UNAVAILABLE, "unconfirmed");
+            }
             let content = match state.history.since(since) {
                 Some(changes) => Content::Delta(Delta { through: state.view.through, changes }),
                 None => Content::Snapshot(state.view.clone()),
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -159,7 +159,7 @@
         request: Request<Incoming>,
         arrived: Micros,
     ) -> Result<Call, CallOutcome> {
-        let routing = self.lock().view.routing.clone();
+        let routing = self.lock().routing().cloned();
         let routing =
             routing.ok_or_else(|| CallOutcome::refused("no-routing", DEFAULT_RETRY_AFTER))?;
         let (mut head, body) = request.into_parts();
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -135,7 +135,7 @@
 
     /// Returns whether callers may send requests.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.lock().view.routing.is_some()
+        !self.stopping() && self.lock().routing().is_some()
     }
 
     /// Returns the address of the gate of the upstream at `upstream`.
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -208,7 +208,7 @@
     }
 
     /// Returns the other nodes of this zone.
-    fn zone_peers(&self) -> Vec<IpAddr> {
+    pub(crate) fn zone_peers(&self) -> Vec<IpAddr> {
         let state = self.lock();
         let own = self.settings.peers.ip();
         let zone = self.settings.zone.as_str();
@@ -216,7 +216,7 @@
         vms.map(|(ip, _)| ip).collect()
     }
 
-    fn random_peer(&self) -> Option<IpAddr> {
+    pub(crate) fn random_peer(&self) -> Option<IpAddr> {
         let mut state = self.lock();
         let state = &mut *state;
         let own = self.settings.peers.ip();
@@ -293,6 +293,8 @@
                 state.suspects.record_crash(now, crash);
             }
             let newer = notice.revision > state.view.through;
+            // A reader knows what the store knows, and this node knows no less.
+            state.confirmed |= notice.reads && !newer && state.view.routing.is_some();
             if newer {
                 state.newer_peers.insert(from, notice.revision);
             }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
+use std::sync::Arc;
 
 use bbv_core::admission::{Admission, AdmissionDequeued};
 use bbv_core::history::History;
@@ -11,7 +12,7 @@
 use bbv_core::poison::Suspects;
 use bbv_core::readers::Readers;
 use bbv_core::retry_budget::RetryBudget;
-use bbv_core::route::{Name, Route, ServiceLimits, Splitter};
+use bbv_core::route::{Name, Route, Routing, ServiceLimits, Splitter};
 use bbv_core::slow_period::SlowPeriods;
 use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_core::view::{PublishedUpstream, View};
@@ -68,6 +69,9 @@
 pub(crate) struct State {
     /// Published routing and upstreams.
     pub view: View,
+    /// Whether the store or a peer has confirmed the view since the start; a listing alone may be
+    /// seconds old and name upstreams that have left.
+    pub confirmed: bool,
     /// Time at which the routing in force was received.
     pub routed_at: Micros,
     /// Index of the view.
@@ -116,6 +120,7 @@
         admission.record_restart(now);
         State {
             view: View::default(),
+            confirmed: false,
             routed_at: now,
             index: Index::default(),
             admission,
@@ -173,6 +178,11 @@
         self.view.routing.as_ref()?.services.get(settings.service.as_str())
     }
 
+    /// Returns the routing, once the view is confirmed.
+    pub fn routing(&self) -> Option<&Arc<Routing>> {
+        self.view.routing.as_ref().filter(|_| self.confirmed)
+    }
+
     /// Returns the limit on the body of a request; there is none before a routing is known.
     pub fn max_body_bytes(&self) -> usize {
         self.view.routing.as_ref().map_or(usize::MAX, |routing| routing.limits.body)
@@ -181,6 +191,9 @@
     /// Applies the view to admission and removes statistics of upstreams that are gone.
     pub fn apply_view(&mut self, settings: &Settings) {
         self.index = Index::new(&self.view);
+        let zone = settings.zone.as_str();
+        let nodes = self.index.vms().filter(|(_, vm_zone)| &***vm_zone == zone).count();
+        self.readers.set_zone_size(nodes);
         self.apply_local(settings);
         let upstreams = &self.view.upstreams;
         self.upstream_stats.retain(|id, _| upstreams.contains_key(id));
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -175,3 +175,42 @@
     }
     assert_eq!(fleet.members[removed].upstream.runs(), before);
 }
+
+/// A node starts after an upstream has left, while cheap listings still show it. The node serves
+/// callers only once the store or a peer has told it of that.
+#[tokio::test]
+async fn starting_node_does_not_trust_a_stale_listing() {
+    for peers in [0, 2] {
+        let zones = vec!["z"; peers + 2];
+        let mut fleet = Fleet::without_nodes(&zones).await;
+        for index in 2..zones.len() {
+            fleet.start_node(index).await;
+        }
+        fleet.publish();
+        fleet.store.freeze_stale();
+        fleet.store.remove("servers/i-1");
+        let latest = fleet.store.revision();
+        fleet.wait_until_applied().await;
+        fleet.start_node(0).await;
+        let node = &fleet.members[0].running.as_ref().expect("node is running").node;
+        wait_until("the node is ready", || {
+            assert!(!node.ready() || node.revision() >= latest, "ready with {peers} peers");
+            node.ready()
+        })
+        .await;
+        assert_eq!(fleet.get(0, "/get/1", "id-1").await.status, 200);
+        assert_eq!(fleet.members[1].upstream.runs(), 0);
+    }
+}
+
+/// All nodes of a zone start at once and learn the fleet with few calls that the store answers
+/// from its newest state.
+#[tokio::test]
+async fn starting_zone_reads_the_store_through_few_nodes() {
+    let fleet = Fleet::start(&["z"; 16]).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let calls = fleet.store.calls.load(Ordering::Relaxed);
+    assert!(calls <= 16, "{calls} calls of 16 nodes");
+    let readers = fleet.members.iter().filter_map(|member| member.running.as_ref());
+    assert_eq!(readers.filter(|running| running.node.reads_store()).count(), 1);
+}
