Test answers without end and late copies, and check upstreams before requests rather than all the time

Change: stand-ins that send without end and that copy answers without an id; tests of the real program. An idle upstream is checked every 600 ms, and again before it gets a request; requests that arrive together share a check.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -296,15 +296,14 @@
     /// Returns the expected remaining time instead of waiting if the request may run elsewhere.
     async fn wait_for_speed(&self, metadata: &GateRequest, arrived: Micros) -> Option<Micros> {
         let wait_until = (arrived + metadata.timeout).min(self.now() + MAX_SPEED_WAIT);
+        let long = metadata.service_time >= LONG_REQUEST;
+        let max_age = if long { SPEED_MAX_AGE } else { Micros::MAX };
         // The rate limit of a cold upstream counts the request from now on, so it has to start now.
         if self.lock().admission.is_cold(self.now()) {
             return None;
         }
         loop {
-            let reported_at = self.lock().local.reported_at;
-            if metadata.service_time >= LONG_REQUEST && self.now() > reported_at + SPEED_MAX_AGE {
-                self.check_health().await;
-            }
+            self.refresh_report(max_age).await;
             let now = self.now();
             {
                 let periods = &self.lock().local.slow_periods;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -37,6 +37,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) peer_pool: Pool,
     pub(crate) upstream_pool: Pool,
+    /// Held by the task that checks the upstream before a request.
+    pub(crate) check_turn: tokio::sync::Mutex<()>,
     pub(crate) request_bodies: Arc<Mutex<BodyBudget>>,
     pub(crate) open_requests: AtomicU64,
     pub(crate) notice_socket: OnceLock<Arc<UdpSocket>>,
@@ -74,6 +76,7 @@
             metrics: Metrics::new(),
             peer_pool: Pool::new(CONNECT_TIMEOUT, PEER_IDLE_TIMEOUT, Arc::clone(&bodies)),
             upstream_pool: Pool::new(CONNECT_TIMEOUT, UPSTREAM_IDLE_TIMEOUT, bodies),
+            check_turn: tokio::sync::Mutex::default(),
             request_bodies: Arc::new(Mutex::new(BodyBudget::new(settings.request_memory))),
             open_requests: AtomicU64::new(0),
             notice_socket: OnceLock::new(),
@@ -108,6 +111,12 @@
         self.lock().view.through
     }
 
+    /// Returns whether the upstream beside the node is cold.
+    pub fn is_cold(&self) -> bool {
+        let now = self.now();
+        self.lock().admission.is_cold(now)
+    }
+
     /// Makes the node unready, so that callers and other nodes stop choosing it.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -18,12 +18,15 @@
 use crate::notice::vm_of;
 use crate::pool::SendError;
 
-/// Interval of health checks; the speed of an upstream changes many times a second.
+/// Interval at which the loop looks whether a check is due; that of checks while the upstream does
+/// not accept connections.
 const CHECK_INTERVAL: Micros = 60 * MS;
-/// Age up to which the load report of a response makes a check unnecessary.
-const REPORT_MAX_AGE: Micros = 40 * MS;
-/// Maximum time between two checks; only a check shows whether the upstream is cold.
+/// Maximum time between two checks while requests run; only a check shows whether the upstream is
+/// cold.
 const MAX_CHECK_INTERVAL: Micros = 200 * MS;
+/// Maximum time between two checks of an idle upstream, which is checked again before it gets a
+/// request.
+const IDLE_CHECK_INTERVAL: Micros = 600 * MS;
 /// Timeout of a health check.
 const CHECK_TIMEOUT: Micros = 400 * MS;
 /// Timeout of the connection attempt that detects a crash: a crashed upstream refuses it.
@@ -33,14 +36,38 @@
     /// Runs health checks until the process ends.
     pub(crate) async fn probe(self: Arc<Self>) {
         let mut ticks = self.timer.every(CHECK_INTERVAL);
-        let mut last_check: Micros = 0;
         loop {
             let now = ticks.next().await.now;
-            let fresh = now < self.lock().local.reported_at + REPORT_MAX_AGE;
-            if fresh && now < last_check + MAX_CHECK_INTERVAL {
-                continue;
+            let interval = self.check_interval();
+            if now >= self.lock().local.checked_at + interval {
+                self.check_health().await;
             }
-            last_check = now;
+        }
+    }
+
+    /// Returns the time between two checks in the present state of the upstream.
+    fn check_interval(&self) -> Micros {
+        let state = self.lock();
+        if state.local.down || state.local.instance.is_none() {
+            CHECK_INTERVAL
+        } else if state.admission.running() > 0 {
+            MAX_CHECK_INTERVAL
+        } else {
+            IDLE_CHECK_INTERVAL
+        }
+    }
+
+    /// Checks the upstream before it gets a request if its cold state or, for a request that takes
+    /// long, its speed is not known well enough. Requests that arrive together share one check.
+    pub(crate) async fn refresh_report(&self, max_speed_age: Micros) {
+        let _turn = self.check_turn.lock().await;
+        let now = self.now();
+        let (reported_at, checked_at) = {
+            let local = &self.lock().local;
+            (local.reported_at, local.checked_at)
+        };
+        if now.saturating_sub(reported_at) > max_speed_age || now > checked_at + MAX_CHECK_INTERVAL
+        {
             self.check_health().await;
         }
     }
@@ -53,6 +80,8 @@
         let request = Request::get(path).header(HOST, host).body(Full::new(Bytes::new()));
         let Ok(request) = request else { return };
         self.metrics.probes.inc();
+        let now = self.now();
+        self.lock().local.checked_at = now;
         let sent = self.upstream_pool.send(self.settings.upstream, request);
         let deadline = self.now() + CHECK_TIMEOUT;
         match self.timer.timeout_at(deadline, sent).await {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -59,6 +59,8 @@
     pub listed: bool,
     /// Whether it refuses connections.
     pub down: bool,
+    /// Time of its latest health check.
+    pub checked_at: Micros,
     /// Time of its latest load report.
     pub reported_at: Micros,
     /// Periods in which it is slow.
--- a/crates/mesh/tests/path.rs
+++ b/crates/mesh/tests/path.rs
@@ -1,5 +1,6 @@
 //! Requests through real nodes, with upstreams that respond correctly and with faulty ones.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bbv_stand::caller;
@@ -53,6 +54,9 @@
         (Behaviour::Unsigned, "POST", "/post/1", 502, 1),
         (Behaviour::Unframed, "POST", "/post/1", 200, 1),
         (Behaviour::Rejects, "POST", "/post/1", 503, 0),
+        (Behaviour::CopiesRefusal, "POST", "/post/1", 502, 1),
+        (Behaviour::Denies, "POST", "/post/1", 502, 1),
+        (Behaviour::Denies, "GET", "/get/1", 502, 2),
     ];
     for (behaviour, method, path, status, runs) in cases {
         let fleet = Fleet::start(&["z", "z"]).await;
@@ -105,6 +109,31 @@
     }
 }
 
+/// The copy lacks the attempt id and arrives between two requests or while the next one waits for
+/// its own response, also on a connection that a health check uses next.
+#[tokio::test]
+async fn late_copy_without_an_id_is_never_forwarded() {
+    let fleet = Fleet::start(&["z"]).await;
+    let upstream = &fleet.members[0].upstream;
+    upstream.cold_ms.store(60_000, Ordering::Relaxed);
+    wait_until("the health check tells that the upstream is cold", || {
+        fleet.members[0].running.as_ref().is_some_and(|running| running.node.is_cold())
+    })
+    .await;
+    for index in 0..24 {
+        let copies = index % 2 == 0;
+        upstream.set_behaviour(if copies { Behaviour::CopiesLate } else { Behaviour::Answers });
+        let id = format!("id-{index}");
+        let response = fleet.post(0, "/post/1", &id).await;
+        assert!([200, 502].contains(&response.status), "{id}: {}", response.status);
+        assert!(response.status == 502 || response.is_complete(&id), "{id}: {response:?}");
+        let running = fleet.members[0].running.as_ref().expect("node is running");
+        assert!(running.node.is_cold(), "{id}: a copy passed as a health response");
+        tokio::time::sleep(Duration::from_millis(index % 7)).await;
+    }
+    assert!(fleet.runs() <= 24, "a request ran again");
+}
+
 #[tokio::test]
 async fn caller_disconnect_cancels_the_request() {
     let fleet = Fleet::start(&["a", "b"]).await;
@@ -123,7 +152,7 @@
         assert!(result.is_err(), "the caller disconnects before the response");
         assert_eq!(other.runs() - before, 1);
         wait_until("the upstream sees the cancellation", || {
-            other.cancelled.load(std::sync::atomic::Ordering::Relaxed) == 1
+            other.cancelled.load(Ordering::Relaxed) == 1
         })
         .await;
         fleet.store.remove(&format!("op/evacuate/{zone}"));
