Answer requests that have arrived when a node closes its connections

When a stopping node closed, it left its accept loop at once, so that the kernel reset connections still in the accept queue; a connection was shut down as idle although a request, or half of one, lay in its buffer; and the process could end while a response was being written. Change: the queue is emptied before the listener closes, a connection is polled before it counts as idle, and a stop waits for callers' connections, half a second at most after the last request. The accept loop is a struct now, its service one short function.

--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -3,12 +3,13 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bbv_core::units::{MS, Micros};
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
+use futures_util::FutureExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -33,6 +34,9 @@
 /// Time before the close at which other nodes are asked to send requests elsewhere; until then the
 /// gate accepts their requests.
 const LEAVE_NOTICE: Micros = 300 * MS;
+/// Time for which a closing node waits for callers' connections after its last request, so that
+/// responses are written and requests of connections that it has just accepted are read.
+const CONNECTION_LINGER: Micros = 500 * MS;
 /// Part of the grace period reserved for the exit of the process.
 const STOP_RESERVE: Micros = 300 * MS;
 /// Interval at which a stopping node checks for requests in flight.
@@ -53,6 +57,7 @@
     /// Shared state of the node.
     pub node: Arc<Node>,
     close_sender: watch::Sender<bool>,
+    connections: Arc<AtomicUsize>,
 }
 
 /// Binds the listeners of `settings` and starts a node on them.
@@ -66,10 +71,17 @@
         (ListenerKind::Callers, settings.callers),
     ];
     listeners.extend(settings.metrics.map(|addr| (ListenerKind::Operators, addr)));
+    let connections = Arc::default();
     for (kind, addr) in listeners {
         let listener = TcpListener::bind(addr).await;
         let listener = listener.wrap_err_with(|| format!("could not listen on {addr}"))?;
-        tokio::spawn(accept_connections(Arc::clone(&node), kind, listener, close_signal.clone()));
+        let acceptor = Acceptor {
+            node: Arc::clone(&node),
+            kind,
+            connections: Arc::clone(&connections),
+            close_signal: close_signal.clone(),
+        };
+        tokio::spawn(acceptor.run(listener));
     }
     let notices = settings.notices;
     let socket = UdpSocket::bind(notices).await;
@@ -81,7 +93,7 @@
     tokio::spawn(Arc::clone(&node).receive_notices(socket));
     let (name, zone, service) = (&settings.node, &settings.zone, &settings.service);
     event::info(Event::Started, &[("node", name), ("zone", zone), ("service", service)]);
-    Ok(RunningNode { node, close_sender })
+    Ok(RunningNode { node, close_sender, connections })
 }
 
 impl RunningNode {
@@ -100,77 +112,116 @@
         node.close();
         // Fails only if all receivers are gone, which means that every listener has ended.
         let _ = self.close_sender.send(true);
-        while node.open_requests.load(Ordering::Relaxed) > 0 && node.now() < grace_end {
-            node.timer.sleep(STOP_POLL).await;
-        }
+        self.finish_requests(close_at, grace_end).await;
         event::info(Event::Stopped, &[("open", &node.open_requests.load(Ordering::Relaxed))]);
     }
-}
 
-async fn accept_connections(
-    node: Arc<Node>,
-    kind: ListenerKind,
-    listener: TcpListener,
-    mut close_signal: watch::Receiver<bool>,
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = wait_for_close(&mut close_signal), if kind == ListenerKind::Callers => return,
-        };
-        match accepted {
-            Ok((stream, from)) => {
-                tokio::spawn(serve_connection(
-                    Arc::clone(&node),
-                    kind,
-                    stream,
-                    from,
-                    close_signal.clone(),
-                ));
+    /// Waits until the requests in flight have ended and their responses are written.
+    async fn finish_requests(&self, close_at: Micros, grace_end: Micros) {
+        let node = &self.node;
+        let mut busy_at = close_at;
+        while node.now() < grace_end {
+            let requests = node.open_requests.load(Ordering::Relaxed);
+            if requests > 0 {
+                busy_at = node.now();
             }
-            Err(error) => {
-                event::warn(Event::AcceptFailed, &[("why", &error)]);
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            // The connections of other nodes stay open.
+            let connections = self.connections.load(Ordering::Relaxed);
+            let lingered = node.now() >= busy_at + CONNECTION_LINGER;
+            if requests == 0 && (connections == 0 || lingered) {
+                return;
             }
+            node.timer.sleep(STOP_POLL).await;
         }
     }
 }
 
-async fn wait_for_close(close_signal: &mut watch::Receiver<bool>) {
-    // An error means that the node was dropped, which closes the listener too.
-    let _ = close_signal.wait_for(|closed| *closed).await;
+/// Counts a connection of a caller as open until it ends.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(Arc::clone(count))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
-async fn serve_connection(
+/// Accepts the connections of one listener and serves them.
+#[derive(Clone)]
+struct Acceptor {
     node: Arc<Node>,
     kind: ListenerKind,
-    stream: TcpStream,
-    from: SocketAddr,
-    mut close_signal: watch::Receiver<bool>,
-) {
-    if let Err(error) = bbv_net::set_tcp_options(&stream) {
-        event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
+    /// Number of open connections of callers.
+    connections: Arc<AtomicUsize>,
+    close_signal: watch::Receiver<bool>,
+}
+
+impl Acceptor {
+    async fn run(mut self, listener: TcpListener) {
+        let callers = self.kind == ListenerKind::Callers;
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = wait_for_close(&mut self.close_signal), if callers => break,
+            };
+            match accepted {
+                Ok((stream, from)) => self.spawn(stream, from),
+                Err(error) => {
+                    event::warn(Event::AcceptFailed, &[("why", &error)]);
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+        // Closing the listener resets the connections that wait to be accepted.
+        while let Some(Ok((stream, from))) = listener.accept().now_or_never() {
+            self.spawn(stream, from);
+        }
+    }
+
+    fn spawn(&self, stream: TcpStream, from: SocketAddr) {
+        tokio::spawn(self.clone().serve(stream, from));
     }
-    let ip = from.ip();
-    let builder = connection_builder(&node, kind);
-    let service = service_fn(move |request| {
-        let node = Arc::clone(&node);
-        async move { Ok::<_, Infallible>(dispatch(&node, kind, ip, request).await) }
-    });
-    let conn = builder.serve_connection(TokioIo::new(stream), service);
-    let mut conn = std::pin::pin!(conn);
-    let result = tokio::select! {
-        result = conn.as_mut() => result,
-        () = wait_for_close(&mut close_signal), if kind == ListenerKind::Callers => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+
+    async fn serve(mut self, stream: TcpStream, from: SocketAddr) {
+        let callers = self.kind == ListenerKind::Callers;
+        let _open = callers.then(|| OpenConnection::new(&self.connections));
+        if let Err(error) = bbv_net::set_tcp_options(&stream) {
+            event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
+        }
+        let builder = connection_builder(&self.node, self.kind);
+        let (node, kind) = (self.node, self.kind);
+        let service = service_fn(move |request| {
+            let node = Arc::clone(&node);
+            async move { Ok::<_, Infallible>(dispatch(&node, kind, from.ip(), request).await) }
+        });
+        let conn = builder.serve_connection(TokioIo::new(stream), service);
+        let mut conn = std::pin::pin!(conn);
+        let result = tokio::select! {
+            // A request that has arrived is read before the connection counts as idle.
+            biased;
+            result = conn.as_mut() => result,
+            () = wait_for_close(&mut self.close_signal), if callers => {
+                conn.as_mut().graceful_shutdown();
+                conn.await
+            }
+        };
+        if let Err(error) = result {
+            event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
         }
-    };
-    if let Err(error) = result {
-        event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
     }
 }
 
+async fn wait_for_close(close_signal: &mut watch::Receiver<bool>) {
+    // An error means that the node was dropped, which closes the listener too.
+    let _ = close_signal.wait_for(|closed| *closed).await;
+}
+
 /// Configures the HTTP server of a connection with the limits in force when it was accepted.
 fn connection_builder(node: &Node, kind: ListenerKind) -> http1::Builder {
     let mut builder = http1::Builder::new();
--- /dev/null
+++ b/crates/mesh/tests/stop.rs
@@ -0,0 +1,96 @@
+//! Planned stops: requests that have arrived when the node closes its connections are answered.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use bbv_stand::caller;
+use bbv_stand::fleet::Fleet;
+
+/// Time from the start of a stop to the close of callers' connections.
+const CLOSE_AFTER: Duration = Duration::from_millis(2_600);
+/// Time before and after the close for which the test occupies the node's only thread.
+const MARGIN: Duration = Duration::from_millis(40);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("connect to the node");
+    stream.set_read_timeout(Some(READ_TIMEOUT)).expect("set the read timeout");
+    stream
+}
+
+fn write(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).expect("write to an open connection");
+}
+
+fn request(id: &str) -> String {
+    caller::request("POST", "/post/1", id, 3_000, "body")
+}
+
+/// Reads one response of a stand-in upstream, whose body is `hello`.
+fn read(stream: &mut TcpStream) -> String {
+    let (mut text, mut chunk) = (String::new(), [0_u8; 4_096]);
+    while !text.ends_with("hello") {
+        match stream.read(&mut chunk) {
+            Ok(len) if len > 0 => text.push_str(&String::from_utf8_lossy(&chunk[..len])),
+            ended => panic!("cut off with {ended:?} after {text:?}"),
+        }
+    }
+    text
+}
+
+/// Requests lie in the accept queue, in the buffers of kept connections, and half in such a buffer,
+/// when the node closes: all are answered.
+#[tokio::test]
+async fn requests_that_have_arrived_are_answered() {
+    let mut fleet = Fleet::start(&["z", "z"]).await;
+    let addr = fleet.callers(0);
+    let kept: Vec<TcpStream> = tokio::task::spawn_blocking(move || {
+        let mut kept: Vec<TcpStream> = (0..20).map(|_| connect(addr)).collect();
+        for (index, stream) in kept.iter_mut().enumerate() {
+            write(stream, &request(&format!("first-{index}")));
+            read(stream);
+        }
+        kept
+    })
+    .await
+    .expect("caller panicked");
+    let running = fleet.members[0].running.take().expect("node is running");
+    let started = Instant::now();
+    let stop = tokio::spawn(running.stop());
+    tokio::time::sleep(CLOSE_AFTER - MARGIN).await;
+    // From here to the close the node's thread is busy, so that it finds everything at once.
+    let mut streams: Vec<(TcpStream, String)> = Vec::new();
+    for (index, mut stream) in kept.into_iter().enumerate() {
+        let text = request(&format!("kept-{index}"));
+        let sent = if index % 2 == 0 { text.len() } else { text.len() / 2 };
+        write(&mut stream, &text[..sent]);
+        streams.push((stream, text[sent..].to_owned()));
+    }
+    for index in 0..20 {
+        let mut stream = connect(addr);
+        write(&mut stream, &request(&format!("new-{index}")));
+        streams.push((stream, String::new()));
+    }
+    std::thread::sleep((started + CLOSE_AFTER + MARGIN).saturating_duration_since(Instant::now()));
+    let answers = tokio::task::spawn_blocking(move || {
+        streams.iter_mut().for_each(|(stream, rest)| write(stream, rest));
+        streams.iter_mut().map(|(stream, _)| read(stream)).collect::<Vec<_>>()
+    });
+    let answers = answers.await.expect("a request was cut off");
+    assert!(answers.iter().all(|answer| answer.starts_with("HTTP/1.1 200 ")), "{answers:?}");
+    assert_eq!(fleet.runs(), 60);
+    stop.await.expect("the stop panicked");
+    assert!(TcpStream::connect(addr).is_err(), "the node still accepts connections");
+}
+
+/// A connection without a request is no reason to stay until the end of the grace period.
+#[tokio::test]
+async fn connection_that_is_never_used_does_not_delay_the_stop() {
+    let mut fleet = Fleet::start(&["z"]).await;
+    let _unused = connect(fleet.callers(0));
+    let running = fleet.members[0].running.take().expect("node is running");
+    let started = Instant::now();
+    running.stop().await;
+    assert!(started.elapsed() < CLOSE_AFTER + Duration::from_millis(1_200));
+}
