Start calls of running requests in time, and do not repeat a request whose call was refused

Calls have the rank of the requests beside them and a deadline of 250 ms; the wait was counted behind all requests of the rank, also those that would start later, so that calls were refused at once; past their own target they were put behind patient requests; and a request whose call was refused was sent to a second upstream, where it failed again. On cold upstreams requests started in slow periods that they could not survive. Change: the wait counts the requests that really start before, in the order in which they start. A call of a running request, told by its id, counts as in time until its deadline. A gate says when a call of the request was refused, and the ingress does not repeat it. Tests: admission.rs, slow_periods.rs, path.rs.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -194,6 +194,7 @@
     /// bbv_core::admission::Admission::new(9).observe_speed(0, 500);
     /// ```
     pub fn observe_speed(&mut self, now: Micros, speed_pct: u32) {
+        self.slow.set_cold(self.cold.is_cold(now));
         self.slow.observe(now, speed_pct);
         self.speed_pct = speed_pct.clamp(10, 10_000);
     }
@@ -340,16 +341,15 @@
         let at_once = request.service_time.saturating_mul(u64::from(self.speed_pct)) / 100;
         match self.slow_remaining(now) {
             0 => at_once,
-            rest => at_once.min((now + rest).saturating_sub(start) + request.service_time),
+            rest => {
+                let after = self.slow.base_time(request.service_time);
+                at_once.min((now + rest).saturating_sub(start) + after)
+            }
         }
     }
 
     /// Decides what a request does at the present speed once there is room for it.
     fn pace(&self, now: Micros, request: &AdmissionRequest) -> Pace {
-        if self.is_cold(now) {
-            // A cold upstream is slow for seconds, and others of its service probably are too.
-            return Pace::Start;
-        }
         if request.reroutes && self.slow.worth_rerouting(request.service_time) {
             return Pace::Reroute;
         }
@@ -359,11 +359,19 @@
         Pace::Start
     }
 
-    /// Number of queued requests that start before a new one of `rank`; those that wait for a slow
-    /// period to end leave their slots to others.
-    fn ahead(&self, now: Micros, rank: u8) -> usize {
+    /// Order in which queued requests start: lowest rank number first, then requests that can
+    /// still meet their target, then the earliest deadline.
+    fn order(&self, now: Micros, request: &AdmissionRequest) -> (u8, bool, Micros) {
+        let end = now + self.service_time(now, now, request);
+        (request.rank, end > request.target, request.deadline)
+    }
+
+    /// Number of queued requests that start before a new one; those that wait for a slow period to
+    /// end leave their slots to others.
+    fn ahead(&self, now: Micros, request: &AdmissionRequest) -> usize {
+        let order = self.order(now, request);
         let starts = |queued: &&AdmissionRequest| {
-            queued.rank <= rank && self.pace(now, queued) != Pace::Hold
+            self.order(now, queued) <= order && self.pace(now, queued) != Pace::Hold
         };
         self.queue.iter().filter(starts).count()
     }
@@ -388,7 +396,7 @@
         if pace == Pace::Reroute {
             return AdmissionDecision::Refuse(self.refuse_slow(now));
         }
-        let ahead = self.ahead(now, request.rank);
+        let ahead = self.ahead(now, &request);
         let cold_wait = self.cold.wait(now, ahead);
         let wait = self.queue_wait(now, ahead).max(cold_wait);
         let start = now.saturating_add(wait);
@@ -519,20 +527,12 @@
         }
     }
 
-    /// Index of the queued request to run next: lowest rank number first, then requests that
-    /// can still meet their target, then the earliest deadline.
+    /// Index of the queued request to run next.
     fn next(&self, now: Micros) -> Option<usize> {
-        let key = |request: &AdmissionRequest| {
-            (
-                request.rank,
-                now + self.service_time(now, now, request) > request.target,
-                request.deadline,
-            )
-        };
         let may_start =
             |(_, request): &(usize, &AdmissionRequest)| self.pace(now, request) != Pace::Hold;
         let waiting = self.queue.iter().enumerate().filter(may_start);
-        waiting.min_by_key(|(_, request)| key(request)).map(|(at, _)| at)
+        waiting.min_by_key(|(_, request)| self.order(now, request)).map(|(at, _)| at)
     }
 
     /// Next time at which [`Admission::poll`] must be called if nothing else happens.
--- a/crates/core/src/slow_period.rs
+++ b/crates/core/src/slow_period.rs
@@ -11,11 +11,16 @@
 pub struct SlowPeriods {
     since: Option<Micros>,
     speed_pct: u32,
+    /// Service time outside slow periods, in percent of normal: more than 100 while cold.
+    base_pct: u32,
+    cold: bool,
     mean: f64,
     samples: u32,
 }
 
-/// Service time, in percent of normal, from which an upstream counts as slow.
+/// Service time, in percent of normal, of an upstream that is not cold.
+const NORMAL_PCT: u32 = 100;
+/// Service time, in percent of that outside slow periods, from which an upstream counts as slow.
 const SLOW_PCT: u32 = 150;
 /// Expected length of a slow period before one has been observed.
 const INITIAL_MEAN: f64 = (200 * MS) as f64;
@@ -34,11 +39,33 @@
 
 impl Default for SlowPeriods {
     fn default() -> Self {
-        SlowPeriods { since: None, speed_pct: 100, mean: INITIAL_MEAN, samples: 1 }
+        SlowPeriods {
+            since: None,
+            speed_pct: NORMAL_PCT,
+            base_pct: NORMAL_PCT,
+            cold: false,
+            mean: INITIAL_MEAN,
+            samples: 1,
+        }
     }
 }
 
 impl SlowPeriods {
+    /// Records whether the upstream is cold. A cold upstream takes longer for every request; the
+    /// least service time that it reports while cold counts as its normal one.
+    ///
+    /// ```
+    /// bbv_core::slow_period::SlowPeriods::default().set_cold(true);
+    /// ```
+    pub fn set_cold(&mut self, cold: bool) {
+        if cold == self.cold {
+            return;
+        }
+        self.cold = cold;
+        // The next report lowers it.
+        self.base_pct = if cold { u32::MAX } else { NORMAL_PCT };
+    }
+
     /// Records a reported service time in percent of normal.
     ///
     /// ```
@@ -46,9 +73,11 @@
     /// ```
     pub fn observe(&mut self, now: Micros, speed_pct: u32) {
         self.speed_pct = speed_pct;
+        self.base_pct = self.base_pct.min(speed_pct.max(NORMAL_PCT));
+        let slow = u64::from(speed_pct) * 100 >= u64::from(self.base_pct) * u64::from(SLOW_PCT);
         match self.since {
-            None if speed_pct >= SLOW_PCT => self.since = Some(now),
-            Some(since) if speed_pct < SLOW_PCT => {
+            None if slow => self.since = Some(now),
+            Some(since) if !slow => {
                 let length = (now.saturating_sub(since) as f64).min(MAX_LENGTH);
                 self.samples = self.samples.saturating_add(1);
                 // The first samples have equal weight, since intervals differ between fleets.
@@ -74,9 +103,18 @@
         (age < self.mean * PERMANENT_FACTOR).then_some((self.mean * REST_SHARE) as Micros)
     }
 
+    /// Time that a request with `service_time` at normal speed takes outside slow periods.
+    ///
+    /// ```
+    /// assert_eq!(bbv_core::slow_period::SlowPeriods::default().base_time(5_000), 5_000);
+    /// ```
+    pub fn base_time(&self, service_time: Micros) -> Micros {
+        service_time.saturating_mul(u64::from(self.base_pct)) / 100
+    }
+
     /// Additional time that a request with `service_time` at normal speed takes at present.
     fn extra(&self, service_time: Micros) -> Micros {
-        service_time * u64::from(self.speed_pct.saturating_sub(100)) / 100
+        service_time.saturating_mul(u64::from(self.speed_pct.saturating_sub(self.base_pct))) / 100
     }
 
     /// Returns whether a request with `service_time` at normal speed should rather ask another
@@ -122,7 +160,7 @@
         deadline: Micros,
         step: Micros,
     ) -> bool {
-        let late = now + step + service_time > deadline;
+        let late = now + step + self.base_time(service_time) > deadline;
         self.worth_waiting(now, service_time) && !late
     }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -318,3 +318,29 @@
     assert!(!run(&mut nodes, 4 * SEC, 4 * SEC + bound).is_empty(), "no reader within {bound} us");
     assert_eq!(run(&mut nodes, 4 * SEC + bound, 8 * SEC).len(), 2);
 }
+
+/// The queue is full of requests with a late deadline when a call of a running request comes, of
+/// the same rank and with little time. It starts next, and is not refused for the others' sake.
+#[test]
+fn call_with_an_early_deadline_is_admitted_before_patient_requests() {
+    let mut admission = Admission::new(2);
+    let patient = |id| AdmissionRequest {
+        id,
+        rank: 1,
+        deadline: 2_500 * MS,
+        target: 400 * MS,
+        service_time: 120 * MS,
+        reroutes: false,
+    };
+    for id in 0..8 {
+        admission.offer(0, patient(id));
+    }
+    assert_eq!((admission.running(), admission.queued()), (2, 6));
+    let (id, deadline, service_time) = (9, 310 * MS, 22 * MS);
+    let call = AdmissionRequest { id, deadline, target: deadline, service_time, ..patient(9) };
+    assert_eq!(admission.offer(60 * MS, call), AdmissionDecision::Wait);
+    admission.finish(120 * MS, 0, 120 * MS);
+    let mut decided = Vec::new();
+    admission.poll(120 * MS, &mut decided);
+    assert!(matches!(decided[..], [AdmissionDequeued::Run(9)]), "{decided:?}");
+}
--- a/crates/core/tests/slow_periods.rs
+++ b/crates/core/tests/slow_periods.rs
@@ -190,3 +190,22 @@
     let decision = admission.offer(now, request(2, now + SEC, 120 * MS));
     assert_eq!(decision, AdmissionDecision::Run);
 }
+
+/// A cold upstream takes twice as long for every request and has slow periods besides. Its rate
+/// limit is not spent on a request that starts in one of them and cannot end in time.
+#[test]
+fn cold_upstream_does_not_start_requests_in_a_slow_period() {
+    let (service_time, deadline) = (170 * MS, 1_200 * MS);
+    let mut admission = Admission::new(5);
+    admission.set_limits(5, 7.0);
+    admission.set_cold_until(3 * SEC);
+    admission.observe_speed(0, 200);
+    assert_eq!(admission.offer(0, request(1, deadline, service_time)), AdmissionDecision::Run);
+    admission.observe_speed(MS, 1_000);
+    let waits = admission.offer(MS, request(2, deadline, service_time));
+    assert_eq!(waits, AdmissionDecision::Wait, "it would take 1.7 s if it started at once");
+    admission.observe_speed(150 * MS, 200);
+    let mut decided = Vec::new();
+    admission.poll(150 * MS, &mut decided);
+    assert!(matches!(decided[..], [AdmissionDequeued::Run(2)]), "{decided:?}");
+}
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -91,11 +91,41 @@
     }
 }
 
+/// Attempt that runs on the upstream beside the node, until it is dropped.
+struct RunningAttempt {
+    node: Arc<Node>,
+    id: Option<HeaderValue>,
+}
+
+impl RunningAttempt {
+    fn new(node: &Arc<Node>, id: Option<&HeaderValue>) -> Self {
+        if let Some(id) = id {
+            node.lock().local.attempts.insert(id.clone(), false);
+        }
+        RunningAttempt { node: Arc::clone(node), id: id.cloned() }
+    }
+
+    /// Returns whether a call that the attempt made was refused.
+    fn call_refused(&self) -> bool {
+        let attempts = &self.node.lock().local.attempts;
+        self.id.as_ref().and_then(|id| attempts.get(id)).copied().unwrap_or(false)
+    }
+}
+
+impl Drop for RunningAttempt {
+    fn drop(&mut self) {
+        if let Some(id) = &self.id {
+            self.node.lock().local.attempts.remove(id);
+        }
+    }
+}
+
 /// Outcome of a request at the gate, with its response if there is one.
 struct Completion {
     outcome: GateOutcome,
     retry_after: Micros,
     service_time: Micros,
+    call_refused: bool,
     cause: String,
     response: Option<Response<Full<Bytes>>>,
 }
@@ -106,21 +136,30 @@
             outcome,
             retry_after,
             service_time: 0,
+            call_refused: false,
             cause: "none".to_owned(),
             response: None,
         }
     }
 
     fn failed(outcome: GateOutcome, cause: String) -> Self {
-        Completion { outcome, retry_after: 0, service_time: 0, cause, response: None }
+        Completion {
+            outcome,
+            retry_after: 0,
+            service_time: 0,
+            call_refused: false,
+            cause,
+            response: None,
+        }
     }
 
-    fn answered(response: Response<Full<Bytes>>, service_time: Micros) -> Self {
+    fn answered(response: Response<Full<Bytes>>, service_time: Micros, call_refused: bool) -> Self {
         let cause = "none".to_owned();
         Completion {
             outcome: GateOutcome::Answered,
             retry_after: 0,
             service_time,
+            call_refused,
             cause,
             response: Some(response),
         }
@@ -194,6 +233,7 @@
             outcome: completion.outcome,
             retry_after: completion.retry_after,
             service_time: completion.service_time,
+            call_refused: completion.call_refused,
             elapsed: now - arrived,
             report,
             revision,
@@ -222,6 +262,7 @@
         let speed = u64::from(self.lock().admission.speed_pct());
         self.metrics.queue_time.observe((started - arrived) as f64 / 1e6);
         let deadline = arrived + metadata.timeout;
+        let attempt = RunningAttempt::new(self, head.headers.get(header::ATTEMPT_ID));
         let response = self.forward(metadata, head, body, deadline);
         match self.timer.timeout_at(deadline, response).await {
             None => Completion::failed(
@@ -232,7 +273,7 @@
             Some(Ok(response)) => {
                 let service_time = (self.now() - started) * 100 / speed;
                 permit.finish(service_time);
-                Completion::answered(response, service_time)
+                Completion::answered(response, service_time, attempt.call_refused())
             }
         }
     }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -34,6 +34,9 @@
     pub service: Name,
     /// Attempt id set by the caller.
     pub attempt_id: HeaderValue,
+    /// Whether a request that runs on the upstream of this node made it. It is worth what that
+    /// request is worth for as long as it can be answered.
+    pub nested: bool,
     /// Arrival time.
     pub arrived: Micros,
     /// Time after which the caller no longer waits for a response.
@@ -121,6 +124,9 @@
             Err(outcome) => outcome,
         };
         guard.finished = true;
+        if let (Some(id), true) = (&id, outcome.response.status().is_server_error()) {
+            self.lock().local.record_refused_call(id);
+        }
         let latency = self.now() - arrived;
         self.metrics.record_call(guard.labels.as_ref(), outcome.name, latency);
         self.log_call(id.as_ref(), &outcome, latency);
@@ -179,12 +185,16 @@
         let caller = caller
             .map_err(|_| CallOutcome::error(StatusCode::INTERNAL_SERVER_ERROR, "service-name"))?;
         head.headers.insert(header::CALLER_SERVICE, caller);
-        let service = self.lock().splitter.next(&route);
+        let (service, nested) = {
+            let mut state = self.lock();
+            (state.splitter.next(&route), state.local.is_call(&attempt_id))
+        };
         let routing_version = routing.version;
         Ok(Call {
             route,
             service,
             attempt_id,
+            nested,
             arrived,
             deadline,
             fingerprint,
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -63,6 +63,8 @@
     pub retry_after: Micros,
     /// Measured service time, scaled to normal speed.
     pub service_time: Micros,
+    /// Whether the upstream made a call for the request that was refused.
+    pub call_refused: bool,
     /// Time from the arrival at the gate to this response.
     pub elapsed: Micros,
     /// Load of the upstream behind the gate.
@@ -175,10 +177,12 @@
     pub fn write(&self, headers: &mut HeaderMap) {
         let report = &self.report;
         let (closed, cold) = (u8::from(report.closed), u8::from(report.cold));
+        let call_refused = u8::from(self.call_refused);
         let value = join(&[
             &self.outcome.name(),
             &self.retry_after,
             &self.service_time,
+            &call_refused,
             &self.elapsed,
             &report.running,
             &report.queued,
@@ -207,6 +211,7 @@
             outcome,
             retry_after: values.next()?,
             service_time: values.next()?,
+            call_refused: values.next_flag()?,
             elapsed: values.next()?,
             report: LoadReport {
                 running: values.next()?,
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -179,7 +179,9 @@
                 progress.attempts += 1;
                 let failed = response.status().is_server_error();
                 let outcome = CallOutcome { name: "answered", response, sends: 0, usable: 0 };
-                if !failed || !self.may_resend(call, progress) {
+                // The same call would be refused again.
+                let hopeless = result.reply.call_refused;
+                if !failed || hopeless || !self.may_resend(call, progress) {
                     return NextStep::Done(outcome);
                 }
                 progress.last_outcome = Some(outcome);
@@ -340,10 +342,11 @@
         }
         let one_way = peer.rtt / 2;
         let service_time = state.profile(&call.route).service_time as Micros;
+        let target = if call.nested { call.deadline } else { call.arrived + call.route.target };
         GateRequest {
             instance: choice.instance.to_string(),
             timeout: call.deadline.saturating_sub(now + one_way),
-            target: (call.arrived + call.route.target).saturating_sub(now + one_way),
+            target: target.saturating_sub(now + one_way),
             rank: call.route.rank,
             service_time,
             accept_slow,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -16,7 +16,7 @@
 use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_core::view::{PublishedUpstream, View};
 use bytes::Bytes;
-use http::Response;
+use http::{HeaderValue, Response};
 use http_body_util::Full;
 use hyper::body::Body;
 use rand::rngs::SmallRng;
@@ -58,12 +58,36 @@
     pub listed: bool,
     /// Whether it refuses connections.
     pub down: bool,
+    /// Attempts that run on it, and whether a call that one of them made was refused.
+    pub attempts: HashMap<HeaderValue, bool>,
     /// Time of its latest health check.
     pub checked_at: Micros,
     /// Time of its latest load report.
     pub reported_at: Micros,
 }
 
+impl LocalUpstream {
+    /// Returns the attempt that made the call with `id`, if it runs on this upstream: ids of calls
+    /// continue the id of their attempt after a dot.
+    fn parent(&mut self, id: &HeaderValue) -> Option<&mut bool> {
+        let dot = id.as_bytes().iter().rposition(|byte| *byte == b'.')?;
+        let parent = HeaderValue::from_bytes(&id.as_bytes()[..dot]).ok()?;
+        self.attempts.get_mut(&parent)
+    }
+
+    /// Returns whether a running attempt made the call with `id`.
+    pub fn is_call(&mut self, id: &HeaderValue) -> bool {
+        self.parent(id).is_some()
+    }
+
+    /// Records that the call with `id` was refused, so that its attempt will fail.
+    pub fn record_refused_call(&mut self, id: &HeaderValue) {
+        if let Some(refused) = self.parent(id) {
+            *refused = true;
+        }
+    }
+}
+
 /// State shared by the tasks of a node.
 pub(crate) struct State {
     /// Published routing and upstreams.
--- a/crates/mesh/tests/path.rs
+++ b/crates/mesh/tests/path.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bbv_stand::caller;
-use bbv_stand::fleet::{Fleet, config, wait_until};
+use bbv_stand::fleet::{Fleet, config, route, service, wait_until};
 use bbv_stand::upstream::Behaviour;
 
 #[tokio::test]
@@ -109,6 +109,30 @@
     }
 }
 
+/// A service that an upstream calls has no upstream left. The request that made the call fails, and
+/// would fail on every other upstream too, so that it is not sent to one.
+#[tokio::test]
+async fn request_whose_call_was_refused_is_not_sent_again() {
+    let fleet = Fleet::start(&["z", "z"]).await;
+    let mut routing = config(2, 5.0);
+    let resources = routing["resources"].as_array_mut().expect("resources are a list");
+    resources.push(route("call", "idempotent", "t", 5.0));
+    resources.push(service("t", 35.0));
+    fleet.store.put("op/config", &routing);
+    fleet.wait_until_applied().await;
+    for index in 0..20 {
+        fleet.get(0, "/get/warm", &format!("warm-{index}")).await;
+    }
+    for (index, member) in fleet.members.iter().enumerate() {
+        member.upstream.set_behaviour(Behaviour::Calls(fleet.callers(index)));
+    }
+    let before = fleet.runs();
+    for index in 0..6 {
+        assert_eq!(fleet.get(0, "/get/1", &format!("id-{index}")).await.status, 500);
+    }
+    assert_eq!(fleet.runs() - before, 6);
+}
+
 /// The copy lacks the attempt id and arrives between two requests or while the next one waits for
 /// its own response, also on a connection that a health check uses next.
 #[tokio::test]
