Survive malformed messages, restart tasks that panic, and avoid peers that stay silent

By reading: times and counts from headers, notices, peers and the store were added without a bound, which panics in debug builds and wraps in release builds, and a panic ended a background task for good while the process went on without it. A peer never counted as unresponsive, since a request moved the time of its last message. Change: values from outside are clamped where they are decoded; background tasks are started again after a panic, with an event and a metric; the liveness of a peer is a struct of bbv-core that counts from the first unanswered request. Entries that expired after an outage are logged as lapsed. Requests that a slow gate hands back are logged at debug.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`history`], [`index`], [`placement`], [`readers`], [`retry_budget`], [`route`],
+//!   [`history`], [`index`], [`peer`], [`placement`], [`readers`], [`retry_budget`], [`route`],
 //!   [`slow_period`] and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
@@ -32,6 +32,7 @@
 pub mod load;
 pub mod operation;
 pub mod outcome;
+pub mod peer;
 pub mod placement;
 pub mod poison;
 pub mod queue;
--- a/crates/mesh/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -1,21 +1,21 @@
-//! Round-trip time and liveness of another node. An ingress uses them to estimate the cost of a
-//! send and to avoid nodes that do not respond.
+//! Round-trip time and liveness of another bbv-mesh node. An ingress uses them to estimate the cost
+//! of a send and to avoid nodes that do not respond.
+//!
+//! They matter when nodes freeze, are cut off or lose power with requests on the way.
 
-use bbv_core::units::{MS, Micros};
+use crate::units::{MS, Micros};
 
 /// State of another node.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Peer {
-    /// Time of its last notice or response.
-    pub last_seen: Micros,
+pub struct Peer {
     /// Whether it is stopping.
     pub stopping: bool,
-    /// Exponential moving average of the round-trip time; zero if unknown.
-    pub rtt: Micros,
-    /// Time of the last request to it.
-    pub last_request: Micros,
     /// Consecutive failed connection attempts.
     pub connect_failures: u32,
+    /// Exponential moving average of the round-trip time; zero if unknown.
+    rtt: Micros,
+    /// Time of the first request to it since its last message.
+    silent_since: Option<Micros>,
 }
 
 /// Round-trip times assumed before the first measurement, within a zone and between zones.
@@ -29,7 +29,40 @@
 const CROSS_ZONE_SILENCE_TIMEOUT: Micros = 3_000 * MS;
 
 impl Peer {
+    /// Records a request to the node.
+    ///
+    /// ```
+    /// let mut peer = bbv_core::peer::Peer::default();
+    /// peer.record_request(0);
+    /// assert!(peer.is_unresponsive(1_000_000, true));
+    /// ```
+    pub fn record_request(&mut self, now: Micros) {
+        self.silent_since.get_or_insert(now);
+    }
+
+    /// Records a notice or a response of the node.
+    ///
+    /// ```
+    /// bbv_core::peer::Peer::default().record_message();
+    /// ```
+    pub fn record_message(&mut self) {
+        self.silent_since = None;
+    }
+
+    /// Returns the round-trip time; zero if unknown.
+    ///
+    /// ```
+    /// assert_eq!(bbv_core::peer::Peer::default().rtt(), 0);
+    /// ```
+    pub fn rtt(&self) -> Micros {
+        self.rtt
+    }
+
     /// Adds a sample to the exponential moving average of the round-trip time.
+    ///
+    /// ```
+    /// bbv_core::peer::Peer::default().update_rtt(900);
+    /// ```
     pub fn update_rtt(&mut self, rtt: Micros) {
         self.rtt = match self.rtt {
             0 => rtt,
@@ -38,6 +71,11 @@
     }
 
     /// Returns the expected round-trip time to a node of the same or of another zone.
+    ///
+    /// ```
+    /// let peer = bbv_core::peer::Peer::default();
+    /// assert!(peer.expected_rtt(true) < peer.expected_rtt(false));
+    /// ```
     pub fn expected_rtt(&self, same_zone: bool) -> Micros {
         match self.rtt {
             0 if same_zone => DEFAULT_RTT,
@@ -47,8 +85,12 @@
     }
 
     /// Returns whether the node has not responded for too long after a request to it.
+    ///
+    /// ```
+    /// assert!(!bbv_core::peer::Peer::default().is_unresponsive(9_000_000, true));
+    /// ```
     pub fn is_unresponsive(&self, now: Micros, same_zone: bool) -> bool {
         let timeout = if same_zone { SILENCE_TIMEOUT } else { CROSS_ZONE_SILENCE_TIMEOUT };
-        self.last_seen + timeout < now && self.last_request > self.last_seen
+        self.silent_since.is_some_and(|since| since + timeout < now)
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -27,6 +27,31 @@
     pub cold: bool,
 }
 
+/// Largest count and time in a report; larger ones come from a malformed message.
+const MAX_COUNT: u32 = 1_000_000;
+const MAX_TIME: Micros = 3_600 * SEC;
+
+impl LoadReport {
+    /// Returns the report with every value in the range that can occur.
+    ///
+    /// ```
+    /// use bbv_core::placement::LoadReport;
+    /// let report = LoadReport { running: u32::MAX, queued: u32::MAX, ..LoadReport::default() };
+    /// assert!(report.clamped().running.checked_add(report.clamped().queued).is_some());
+    /// ```
+    pub fn clamped(self) -> Self {
+        LoadReport {
+            running: self.running.min(MAX_COUNT),
+            queued: self.queued.min(MAX_COUNT),
+            limit: self.limit.min(MAX_COUNT),
+            speed_pct: self.speed_pct.min(MAX_COUNT),
+            slow_remaining: self.slow_remaining.min(MAX_TIME),
+            backlog: self.backlog.min(MAX_TIME),
+            ..self
+        }
+    }
+}
+
 /// Load and recent outcomes of one upstream, as known to one node.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamStats {
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -43,6 +43,8 @@
     StoreLost,
     /// The store can be read again.
     StoreRegained,
+    /// A background task panicked and was started again.
+    TaskPanicked,
     /// An attempt to send a request to a gate failed.
     Tried,
     /// The upstream crashed while running a request.
@@ -58,7 +60,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 23] = [
+pub const EVENTS: [Event; 24] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -76,6 +78,7 @@
     Event::StoreForgot,
     Event::StoreLost,
     Event::StoreRegained,
+    Event::TaskPanicked,
     Event::Tried,
     Event::UpstreamCrashed,
     Event::UpstreamDown,
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -175,7 +175,7 @@
 ) {
     let report = &reply.report;
     let write = match reply.outcome {
-        GateOutcome::Answered => event::debug,
+        GateOutcome::Answered | GateOutcome::Refused(RefusalReason::Slow) => event::debug,
         GateOutcome::Lost | GateOutcome::Unsent => event::warn,
         _ => event::info,
     };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,7 +15,6 @@
 mod metrics;
 mod node;
 mod notice;
-mod peer;
 mod pool;
 mod probe;
 mod response;
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -8,7 +8,7 @@
 
 use bbv_core::admission::RefusalReason;
 use bbv_core::placement::LoadReport;
-use bbv_core::units::{Micros, Revision};
+use bbv_core::units::{Micros, Revision, SEC};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
 /// Header field of a request from an ingress to a gate.
@@ -111,6 +111,9 @@
     }
 }
 
+/// Longest time in a message; a longer one comes from a malformed message.
+const MAX_TIME: Micros = 3_600 * SEC;
+
 /// Comma-separated values of a header field, read in order.
 struct FieldValues<'a>(std::str::Split<'a, char>);
 
@@ -123,6 +126,11 @@
         self.0.next()?.parse().ok()
     }
 
+    /// Returns a time, at most [`MAX_TIME`], so that it can be added to the clock.
+    fn next_time(&mut self) -> Option<Micros> {
+        Some(self.next::<Micros>()?.min(MAX_TIME))
+    }
+
     fn next_flag(&mut self) -> Option<bool> {
         Some(self.next::<u8>()? != 0)
     }
@@ -161,10 +169,10 @@
     fn read(headers: &HeaderMap) -> Option<Self> {
         let mut values = FieldValues::from_headers(headers, &REQUEST_FIELD)?;
         Some(GateRequest {
-            timeout: values.next()?,
-            target: values.next()?,
+            timeout: values.next_time()?,
+            target: values.next_time()?,
             rank: values.next()?,
-            service_time: values.next()?,
+            service_time: values.next_time()?,
             accept_slow: values.next_flag()?,
             fingerprint: values.next()?,
             instance: values.next()?,
@@ -209,20 +217,21 @@
         let outcome = GateOutcome::parse(values.0.next()?)?;
         Some(GateReply {
             outcome,
-            retry_after: values.next()?,
-            service_time: values.next()?,
+            retry_after: values.next_time()?,
+            service_time: values.next_time()?,
             call_refused: values.next_flag()?,
-            elapsed: values.next()?,
+            elapsed: values.next_time()?,
             report: LoadReport {
                 running: values.next()?,
                 queued: values.next()?,
                 limit: values.next()?,
                 speed_pct: values.next()?,
-                slow_remaining: values.next()?,
-                backlog: values.next()?,
+                slow_remaining: values.next_time()?,
+                backlog: values.next_time()?,
                 closed: values.next_flag()?,
                 cold: values.next_flag()?,
-            },
+            }
+            .clamped(),
             revision: values.next()?,
         })
     }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -25,6 +25,8 @@
     pub probes: IntCounter,
     /// Load notices sent.
     pub notices: IntCounter,
+    /// Panics of background tasks.
+    pub panics: IntCounter,
     /// Version of the routing in force.
     pub routing_version: IntGauge,
     /// Concurrent requests allowed at the upstream.
@@ -107,6 +109,7 @@
             store_calls: counters("bbv_store_calls_total", "Calls to the store.", "result"),
             probes: counter("bbv_probes_total", "Health checks of the upstream."),
             notices: counter("bbv_notices_total", "Load notices sent."),
+            panics: counter("bbv_panics_total", "Panics of background tasks."),
             routing_version: gauge("bbv_routing_version", "Version of the routing in force."),
             limit: gauge("bbv_limit", "Concurrent requests allowed at the upstream."),
             routing_age: seconds("bbv_routing_age_seconds", "Age of the routing in force."),
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -60,6 +60,7 @@
             closed: notice.closed,
             cold: notice.cold,
         }
+        .clamped()
     }
 }
 
@@ -170,7 +171,7 @@
     fn expire_entries(&self, now: Micros) {
         let expired = self.lock().view.expire(now);
         let effects: Vec<_> =
-            expired.into_iter().map(bbv_core::view::Effect::UpstreamRemoved).collect();
+            expired.into_iter().map(bbv_core::view::Effect::UpstreamExpired).collect();
         self.view_changed("lapse", &effects);
     }
 
@@ -275,7 +276,7 @@
         let behind = {
             let mut state = self.lock();
             let peer = state.peers.entry(from).or_default();
-            peer.last_seen = now;
+            peer.record_message();
             peer.stopping = notice.stopping;
             // A notice shows that the peer is alive, so connections to it are retried at once.
             let returned = std::mem::take(&mut peer.connect_failures) > 0;
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// Returns whether nothing has gone wrong: the request succeeded, or a slow gate handed it back.
+    fn is_routine(&self) -> bool {
+        let slow = GateOutcome::Refused(RefusalReason::Slow);
+        let handed_back =
+            matches!(self, SendResult::Replied(result) if result.reply.outcome == slow);
+        handed_back || self.is_success()
+    }
+
     fn is_success(&self) -> bool {
         let response = match self {
             SendResult::Replied(result) => result.response.as_ref(),
@@ -313,7 +321,7 @@
     fn log_send(&self, call: &Call, choice: &Choice, result: &SendResult) {
         let age = choice.report_age.map_or(-1, |age| (age / MS) as i64);
         let id = call.attempt_id.to_str().unwrap_or("none");
-        let write = if result.is_success() { event::debug } else { event::info };
+        let write = if result.is_routine() { event::debug } else { event::info };
         write(
             Event::Tried,
             &[
@@ -335,12 +343,8 @@
         let mut state = self.lock();
         state.upstream_stats.entry(choice.instance.clone()).or_default().record_send(now, id);
         let peer = state.peers.entry(choice.addr.ip()).or_default();
-        if peer.last_request <= peer.last_seen {
-            // Silence is measured from the first request since the last message from the peer.
-            peer.last_request = now;
-            peer.last_seen = peer.last_seen.max(now);
-        }
-        let one_way = peer.rtt / 2;
+        peer.record_request(now);
+        let one_way = peer.rtt() / 2;
         let service_time = state.profile(&call.route).service_time as Micros;
         let target = if call.nested { call.deadline } else { call.arrived + call.route.target };
         GateRequest {
@@ -424,7 +428,7 @@
             }
         }
         let peer = state.peers.entry(ip).or_default();
-        peer.last_seen = now;
+        peer.record_message();
         peer.connect_failures = 0;
         peer.update_rtt((now - sent_at).saturating_sub(reply.elapsed));
         if let SendResult::Replied(GateResult { response: Some(response), .. }) = result {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -44,6 +44,9 @@
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Delay before a task that panicked starts again.
+const PANIC_DELAY: Micros = 100 * MS;
+
 /// Kind of a listener, by who connects to it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ListenerKind {
@@ -87,15 +90,33 @@
     let socket = UdpSocket::bind(notices).await;
     let socket = Arc::new(socket.wrap_err_with(|| format!("could not bind UDP socket {notices}"))?);
     let _ = node.notice_socket.set(Arc::clone(&socket));
-    tokio::spawn(Arc::clone(&node).follow_store());
-    tokio::spawn(Arc::clone(&node).probe());
-    tokio::spawn(Arc::clone(&node).send_notices(Arc::clone(&socket)));
-    tokio::spawn(Arc::clone(&node).receive_notices(socket));
+    supervise("follow-store", &node, Node::follow_store);
+    supervise("probe", &node, Node::probe);
+    let notices = Arc::clone(&socket);
+    supervise("send-notices", &node, move |node| node.send_notices(Arc::clone(&notices)));
+    supervise("receive-notices", &node, move |node| node.receive_notices(Arc::clone(&socket)));
     let (name, zone, service) = (&settings.node, &settings.zone, &settings.service);
     event::info(Event::Started, &[("node", name), ("zone", zone), ("service", service)]);
     Ok(RunningNode { node, close_sender, connections })
 }
 
+/// Runs a background task, and starts it again if it panics: a single message must not leave the
+/// node without one of them.
+fn supervise<F, T>(name: &'static str, node: &Arc<Node>, task: F)
+where
+    F: Fn(Arc<Node>) -> T + Send + 'static,
+    T: Future<Output = ()> + Send + 'static,
+{
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        while let Err(error) = tokio::spawn(task(Arc::clone(&node))).await {
+            event::warn(Event::TaskPanicked, &[("task", &name), ("why", &error)]);
+            node.metrics.panics.inc();
+            node.timer.sleep(PANIC_DELAY).await;
+        }
+    });
+}
+
 impl RunningNode {
     /// Stops the node: makes it unready, closes the caller listener, then waits for requests in
     /// flight.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -8,6 +8,7 @@
 use bbv_core::admission::{Admission, AdmissionDequeued};
 use bbv_core::history::History;
 use bbv_core::index::Index;
+use bbv_core::peer::Peer;
 use bbv_core::placement::{LoadReport, UpstreamStats};
 use bbv_core::poison::Suspects;
 use bbv_core::readers::Readers;
@@ -23,7 +24,6 @@
 use tokio::sync::oneshot;
 
 use crate::notice::vm_of;
-use crate::peer::Peer;
 use crate::settings::Settings;
 
 /// Slots assumed until the upstream's entry is known.
