--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -20,7 +20,9 @@
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
+use crate::attempt::RunningAttempt;
 use crate::body::{self, BodyError};
+use crate::completion::{Completion, GateResult};
 use crate::event::{self, Event};
 use crate::ingress::DEFAULT_RETRY_AFTER;
 use crate::message::{GateOutcome, GateReply, GateRequest};
@@ -41,25 +43,6 @@
 /// Interval of speed checks while a request waits for a slow period to end.
 const SPEED_WAIT_STEP: Micros = 20 * MS;
 
-/// Result of one request at a gate.
-pub(crate) struct GateResult {
-    /// Outcome and load of the gate.
-    pub reply: GateReply,
-    /// Response of the upstream, if there is one.
-    pub response: Option<Response<Full<Bytes>>>,
-}
-
-impl GateResult {
-    /// Builds the response to the ingress.
-    fn into_response(self) -> Response<Full<Bytes>> {
-        let name = self.reply.outcome.name();
-        let local = || response::local(StatusCode::SERVICE_UNAVAILABLE, name);
-        let mut response = self.response.unwrap_or_else(local);
-        self.reply.write(response.headers_mut());
-        response
-    }
-}
-
 /// Admission of one request; released when dropped.
 struct Permit {
     node: Arc<Node>,
@@ -91,81 +74,6 @@
     }
 }
 
-/// Attempt that runs on the upstream beside the node, until it is dropped.
-struct RunningAttempt {
-    node: Arc<Node>,
-    id: Option<HeaderValue>,
-}
-
-impl RunningAttempt {
-    fn new(node: &Arc<Node>, id: Option<&HeaderValue>) -> Self {
-        if let Some(id) = id {
-            node.lock().local.attempts.insert(id.clone(), false);
-        }
-        RunningAttempt { node: Arc::clone(node), id: id.cloned() }
-    }
-
-    /// Returns whether a call that the attempt made was refused.
-    fn call_refused(&self) -> bool {
-        let attempts = &self.node.lock().local.attempts;
-        self.id.as_ref().and_then(|id| attempts.get(id)).copied().unwrap_or(false)
-    }
-}
-
-impl Drop for RunningAttempt {
-    fn drop(&mut self) {
-        if let Some(id) = &self.id {
-            self.node.lock().local.attempts.remove(id);
-        }
-    }
-}
-
-/// Outcome of a request at the gate, with its response if there is one.
-struct Completion {
-    outcome: GateOutcome,
-    retry_after: Micros,
-    service_time: Micros,
-    call_refused: bool,
-    cause: String,
-    response: Option<Response<Full<Bytes>>>,
-}
-
-impl Completion {
-    fn refused(outcome: GateOutcome, retry_after: Micros) -> Self {
-        Completion {
-            outcome,
-            retry_after,
-            service_time: 0,
-            call_refused: false,
-            cause: "none".to_owned(),
-            response: None,
-        }
-    }
-
-    fn failed(outcome: GateOutcome, cause: String) -> Self {
-        Completion {
-            outcome,
-            retry_after: 0,
-            service_time: 0,
-            call_refused: false,
-            cause,
-            response: None,
-        }
-    }
-
-    fn answered(response: Response<Full<Bytes>>, service_time: Micros, call_refused: bool) -> Self {
-        let cause = "none".to_owned();
-        Completion {
-            outcome: GateOutcome::Answered,
-            retry_after: 0,
-            service_time,
-            call_refused,
-            cause,
-            response: Some(response),
-        }
-    }
-}
-
 fn log_outcome(
     id: &str,
     metadata: &GateRequest,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,7 +4,9 @@
 //! upstream that runs the request is its *gate*, through which all requests to that upstream
 //! pass. `bbv-core` makes the decisions; this crate does the I/O and supplies the time.
 
+mod attempt;
 mod body;
+mod completion;
 pub mod event;
 mod follow;
 mod gate;
@@ -17,8 +19,10 @@
 mod notice;
 mod pool;
 mod probe;
+mod progress;
 mod response;
 mod send;
+mod send_result;
 mod server;
 pub mod settings;
 mod state;
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -12,23 +12,21 @@
 use http_body_util::Full;
 use rand::Rng;
 
+use crate::completion::GateResult;
 use crate::event::{self, Event};
-use crate::gate::GateResult;
 use crate::ingress::{Call, CallOutcome, DEFAULT_RETRY_AFTER};
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::Node;
 use crate::pool::SendError;
+use crate::progress::Progress;
 use crate::response;
+use crate::send_result::SendResult;
 
-/// Number of gate refusals after which a request is refused to its caller.
-const MAX_REFUSALS: usize = 4;
 /// Longest time for which an upstream is avoided after its gate refused a request.
 const MAX_REFUSAL_AVOIDANCE: Micros = 30 * MS;
 /// Time for which an upstream is avoided after its gate refused a request because the upstream
 /// drains, is out of service or has been replaced; news of that arrives in the meantime.
 const CLOSED_AVOIDANCE: Micros = 500 * MS;
-/// Number of such refusals after which a request is refused to its caller.
-const MAX_CLOSED: usize = 6;
 /// Random loss added to each upstream, so that ingresses spread their requests over upstreams with
 /// nearly equal losses.
 const LOSS_JITTER: f64 = 0.03;
@@ -58,70 +56,6 @@
     report_age: Option<Micros>,
 }
 
-/// Result of sending a request to one gate.
-enum SendResult {
-    Replied(GateResult),
-    Unsent(String),
-    Lost(String),
-    TimedOut,
-}
-
-impl SendResult {
-    fn name(&self) -> &'static str {
-        match self {
-            SendResult::Replied(result) => result.reply.outcome.name(),
-            SendResult::Unsent(_) => "unsent",
-            SendResult::Lost(_) => "gate-lost",
-            SendResult::TimedOut => "late",
-        }
-    }
-
-    fn cause(&self) -> &str {
-        match self {
-            SendResult::Unsent(cause) | SendResult::Lost(cause) => cause,
-            SendResult::Replied(_) | SendResult::TimedOut => "none",
-        }
-    }
-
-    /// Returns whether nothing has gone wrong: the request succeeded, or a slow gate handed it back.
-    fn is_routine(&self) -> bool {
-        let slow = GateOutcome::Refused(RefusalReason::Slow);
-        let handed_back =
-            matches!(self, SendResult::Replied(result) if result.reply.outcome == slow);
-        handed_back || self.is_success()
-    }
-
-    fn is_success(&self) -> bool {
-        let response = match self {
-            SendResult::Replied(result) => result.response.as_ref(),
-            _ => None,
-        };
-        response.is_some_and(|response| !response.status().is_server_error())
-    }
-}
-
-/// Progress of a request over all its sends.
-#[derive(Default)]
-struct Progress {
-    tried: Vec<Name>,
-    /// Upstreams whose gates refused the request because they are slow.
-    slow: Vec<Name>,
-    sends: usize,
-    refusals: usize,
-    closed: usize,
-    attempts: usize,
-    retry_after: Option<Micros>,
-    last_outcome: Option<CallOutcome>,
-}
-
-impl Progress {
-    /// Returns whether the gate of `instance` should run the request even if it is slow: it is the
-    /// best one in spite of that, or the last one to be asked.
-    fn accepts_slow(&self, instance: &Name) -> bool {
-        self.slow.contains(instance) || self.refusals + 1 >= MAX_REFUSALS
-    }
-}
-
 /// Next step after a send.
 enum NextStep {
     Retry,
@@ -145,7 +79,7 @@
         call: &Call,
         progress: &mut Progress,
     ) -> CallOutcome {
-        while progress.refusals < MAX_REFUSALS && progress.closed < MAX_CLOSED {
+        while !progress.is_exhausted() {
             let Some(choice) = self.choose_upstream(call, &progress.tried) else { break };
             progress.tried.push(choice.instance.clone());
             progress.sends += 1;
