Judge a suspected knee by more samples

With 32 samples the low quantile of ratios under noise reaches 1.25 by chance. Change: 48 samples under high load, a window of 96.

--- a/crates/core/src/knee.rs
+++ b/crates/core/src/knee.rs
@@ -11,9 +11,9 @@
 /// that a request makes itself, and that wait elsewhere under high load, slow only some.
 const QUANTILE: f64 = 0.2;
 /// Number of samples of which the quantile is taken.
-const WINDOW: usize = 64;
+const WINDOW: usize = 96;
 /// Samples under high load that are needed for a comparison.
-const MIN_SAMPLES: usize = 32;
+const MIN_SAMPLES: usize = 48;
 /// Initial samples under low load, since an upstream under high load from the start runs few
 /// requests under low load.
 const INITIAL_SAMPLES: usize = 4;
