Leave more room below the memory that floods may take

Each chunk keeps the read buffer alive that it was cut from, so that how much is held depends on how reads fall. Change: read buffers of 32 KiB, bodies of 16 KiB always pass, 6 MB for the bodies of responses by default.

--- a/crates/core/src/body_budget.rs
+++ b/crates/core/src/body_budget.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 /// Bytes that a body may always hold, whatever the other bodies hold.
-const SMALL_BODY: usize = 32 * 1_024;
+const SMALL_BODY: usize = 16 * 1_024;
 
 /// A body that may not grow further.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -72,7 +72,7 @@
 /// Bytes that may arrive until a response head is complete, interim responses included.
 const MAX_HEAD_BYTES: u64 = 128 * 1_024;
 /// Size of the read buffer, which a response head has to fit into.
-const READ_BUFFER_BYTES: usize = 64 * 1_024;
+const READ_BUFFER_BYTES: usize = 32 * 1_024;
 /// Bytes that may arrive per byte of a body, with chunk sizes, chunk extensions and trailers.
 const BYTES_PER_BODY_BYTE: u64 = 2;
 
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -48,7 +48,7 @@
 const MAX_ZONE_KB_COST: f64 = 100.0;
 const DEFAULT_REQUEST_MEMORY_MB: f64 = 64.0;
 /// More than a VM's link of 20 Mbit/s carries within usual deadlines.
-const DEFAULT_RESPONSE_MEMORY_MB: f64 = 8.0;
+const DEFAULT_RESPONSE_MEMORY_MB: f64 = 6.0;
 const MAX_MEMORY_MB: f64 = 65_536.0;
 const MIN_MEMORY_MB: f64 = 0.1;
 const BYTES_PER_MB: f64 = 1_048_576.0;
