Log and count each status that callers get, by who chose it

A 400 or 431 of the HTTP library had no line and no count, an answer 4xx was logged at debug only and without its signature, a request without a route did not say what it had asked for, and an item of the store that did not decode was dropped without a word. A peer's request that cannot be parsed is a warning.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -158,9 +158,19 @@
     let stale_note =
         if store_lost { "; the store was away, so that the node's knowledge was old" } else { "" };
     match call.get("ended") {
-        "answered" => format!("the upstream answered with status {}", call.get("status")),
+        "answered" => {
+            let unsigned = call.get("signed") == "false";
+            let note = if unsigned { ", without an upstream's signature" } else { "" };
+            format!("the upstream answered with status {}{note}", call.get("status"))
+        }
         "caller-left" => "its caller left before it was answered".to_owned(),
-        "no-route" => format!("no route matched its host and path{stale_note}"),
+        "no-route" => {
+            let unrouted = last("call-unrouted");
+            let request = unrouted.map_or_else(String::new, |line| {
+                format!(" ({}{})", line.get("host"), line.get("path"))
+            });
+            format!("no route matched its host and path{request}{stale_note}")
+        }
         "no-routing" => format!("the node had no routing yet{stale_note}"),
         "no-room" => format!("refused: {}{stale_note}", attempt_cause()),
         "lost" => format!("outcome unknown: {}", attempt_cause()),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -34,3 +34,13 @@
          refused: the node knew no upstream of its service"
     );
 }
+
+#[test]
+fn answer_without_a_route_or_a_signature_is_told_apart() {
+    let unrouted = "event=call-unrouted ts_ms=4 id=x host=a.example path=/new/1 version=3\n\
+                    event=call ts_ms=4 id=x ended=no-route status=404\n";
+    assert_eq!(cause("x", unrouted), "no route matched its host and path (a.example/new/1)");
+    let unsigned = "event=call ts_ms=4 id=x ended=answered status=404 signed=false\n";
+    let expected = "the upstream answered with status 404, without an upstream's signature";
+    assert_eq!(cause("x", unsigned), expected);
+}
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -15,10 +15,14 @@
     Call,
     /// The body of a request could not be received.
     CallBroken,
+    /// No route matched a request.
+    CallUnrouted,
     /// A connection ended with an error.
     ConnectionEnded,
     /// A request completed, was refused or failed at a gate.
     GateEnded,
+    /// An item of the store could not be decoded.
+    ItemUnreadable,
     /// Lines of one kind exceeded the rate limit and were not written.
     Limited,
     /// Metrics could not be encoded.
@@ -60,12 +64,14 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 24] = [
+pub const EVENTS: [Event; 26] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
+    Event::CallUnrouted,
     Event::ConnectionEnded,
     Event::GateEnded,
+    Event::ItemUnreadable,
     Event::Limited,
     Event::MetricsFailed,
     Event::NoticeFailed,
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -79,6 +79,12 @@
     Snapshot(View),
 }
 
+fn log_faults(changes: &Changes) {
+    for fault in &changes.faults {
+        event::warn(Event::ItemUnreadable, &[("key", &fault.key), ("why", &fault.cause)]);
+    }
+}
+
 impl Node {
     /// Learns the fleet from listings that may be seconds old, until a peer has confirmed the view
     /// or the fleet is complete enough to have readers.
@@ -88,7 +94,10 @@
             let result = store.list(Freshness::Stale).await;
             self.count_store_call(&result);
             match result {
-                Ok(listing) => self.apply_listing(listing),
+                Ok(listing) => {
+                    log_faults(&listing);
+                    self.apply_listing(listing);
+                }
                 Err(error) if !std::mem::replace(&mut lost, true) => {
                     event::warn(
                         Event::StoreLost,
@@ -187,6 +196,7 @@
             self.count_store_call(&result);
             match result {
                 Ok(changes) => {
+                    log_faults(&changes);
                     if std::mem::take(&mut store_lost) {
                         event::info(Event::StoreRegained, &[("revision", &after)]);
                         let now = self.now();
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -17,12 +17,14 @@
 
 use crate::body::{self, BodyError};
 use crate::event::{self, Event};
-use crate::metrics::RouteLabels;
+use crate::metrics::{ResponseSource, RouteLabels};
 use crate::node::{Node, OpenRequest};
 use crate::response;
 
 /// Timeout of a request without a deadline.
 const DEFAULT_TIMEOUT: Micros = 30 * SEC;
+/// Number of characters of a path that are logged.
+const MAX_LOGGED_CHARS: usize = 200;
 /// `Retry-After` of a refusal when no gate has given a time.
 pub(crate) const DEFAULT_RETRY_AFTER: Micros = 200 * MS;
 
@@ -64,6 +66,11 @@
 }
 
 impl CallOutcome {
+    /// Returns who chose the status of the response.
+    fn source(&self) -> ResponseSource {
+        if self.name == ANSWERED { ResponseSource::Upstream } else { ResponseSource::Node }
+    }
+
     /// Creates an outcome without a response of an upstream.
     pub fn error(status: StatusCode, name: &'static str) -> Self {
         CallOutcome { name, response: response::local(status, name), sends: 0, usable: 0 }
@@ -101,6 +108,8 @@
     }
 }
 
+/// Name of the outcome of a request that an upstream answered, with any status.
+pub(crate) const ANSWERED: &str = "answered";
 /// Name of the outcome of a request whose caller closed the connection before the response.
 const CALLER_LEFT: &str = "caller-left";
 
@@ -129,6 +138,7 @@
         }
         let latency = self.now() - arrived;
         self.metrics.record_call(guard.labels.as_ref(), outcome.name, latency);
+        self.metrics.record_response(outcome.response.status(), outcome.source());
         self.log_call(id.as_ref(), &outcome, latency);
         let headers = outcome.response.headers_mut();
         if let (Some(id), false) = (id, headers.contains_key(header::ATTEMPT_ID)) {
@@ -142,15 +152,16 @@
 
     fn log_call(&self, id: Option<&HeaderValue>, outcome: &CallOutcome, latency: Micros) {
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
-        let status = outcome.response.status().as_u16();
-        let success = outcome.name == "answered" && status < 500;
-        let write = if success { event::debug } else { event::info };
+        let status = outcome.response.status();
+        let signed = header::is_signed(outcome.response.headers());
+        let write = if status.is_success() { event::debug } else { event::info };
         write(
             Event::Call,
             &[
                 ("id", &id),
                 ("ended", &outcome.name),
-                ("status", &status),
+                ("status", &status.as_u16()),
+                ("signed", &signed),
                 ("took_us", &latency),
                 ("sends", &outcome.sends),
                 ("known", &outcome.usable),
@@ -169,8 +180,10 @@
         let routing =
             routing.ok_or_else(|| CallOutcome::refused("no-routing", DEFAULT_RETRY_AFTER))?;
         let (mut head, body) = request.into_parts();
-        let route = find_route(&routing, &head);
-        let route = route.ok_or_else(|| CallOutcome::error(StatusCode::NOT_FOUND, "no-route"))?;
+        let route = find_route(&routing, &head).ok_or_else(|| {
+            log_unrouted(&routing, &head);
+            CallOutcome::error(StatusCode::NOT_FOUND, "no-route")
+        })?;
         let attempt_id = head.headers.get(header::ATTEMPT_ID).cloned();
         let attempt_id = attempt_id
             .ok_or_else(|| CallOutcome::error(StatusCode::BAD_REQUEST, "no-attempt-id"))?;
@@ -229,9 +242,28 @@
     }
 }
 
+/// Returns the host that a request is meant for.
+fn host(head: &Parts) -> Option<&str> {
+    head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok())
+}
+
 fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
-    let host = head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok())?;
-    routing.find(host, head.uri.path()).cloned()
+    routing.find(host(head)?, head.uri.path()).cloned()
+}
+
+fn log_unrouted(routing: &Routing, head: &Parts) {
+    let id = head.headers.get(header::ATTEMPT_ID).and_then(|id| id.to_str().ok());
+    let path: String = head.uri.path().chars().take(MAX_LOGGED_CHARS).collect();
+    event::info(
+        Event::CallUnrouted,
+        &[
+            ("id", &id.unwrap_or("none")),
+            ("host", &host(head).unwrap_or("none")),
+            ("path", &path),
+            ("version", &routing.version),
+            ("routes", &routing.iter().count()),
+        ],
+    );
 }
 
 fn compute_fingerprint(head: &Parts, body: &Bytes) -> u64 {
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use bbv_core::route::Name;
 use bbv_core::units::Micros;
+use http::StatusCode;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     Opts, Registry, TextEncoder,
@@ -13,6 +14,7 @@
     registry: Registry,
     calls: IntCounterVec,
     latency: HistogramVec,
+    responses: IntCounterVec,
     /// Requests from ingresses that ended at the gate, by outcome.
     pub admitted: IntCounterVec,
     /// Time that requests were queued for the upstream.
@@ -54,6 +56,28 @@
     pub rank: u8,
 }
 
+/// Who chose the status of a response to a caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ResponseSource {
+    /// The HTTP library, before the node saw the request.
+    Library,
+    /// The node.
+    Node,
+    /// An upstream.
+    Upstream,
+}
+
+impl ResponseSource {
+    /// Name in the metrics.
+    fn name(self) -> &'static str {
+        match self {
+            ResponseSource::Library => "library",
+            ResponseSource::Node => "node",
+            ResponseSource::Upstream => "upstream",
+        }
+    }
+}
+
 /// Label value of requests that matched no route.
 const NO_ROUTE: &str = "none";
 /// Labels of the metrics of callers' requests.
@@ -97,12 +121,16 @@
         let calls =
             IntCounterVec::new(opts("bbv_calls_total", "Requests from callers."), &CALL_LABELS);
         let calls = calls.expect("metric names are valid");
+        let responses = opts("bbv_responses_total", "Responses to callers.");
+        let responses = IntCounterVec::new(responses, &["status", "source"]);
+        let responses = responses.expect("metric names are valid");
         let queue_time =
             histogram("bbv_wait_seconds", "Time that requests were queued for the upstream.");
         let queue_time = Histogram::with_opts(queue_time).expect("metric names are valid");
         Metrics {
             calls: register(&registry, calls),
             latency: register(&registry, latency),
+            responses: register(&registry, responses),
             admitted: counters("bbv_admitted_total", "Requests ended at the gate.", "ended"),
             queue_time: register(&registry, queue_time),
             retries: counter("bbv_retries_total", "Requests sent again to another upstream."),
@@ -130,6 +158,11 @@
         self.latency.with_label_values(&labels).observe(latency as f64 / 1e6);
     }
 
+    /// Counts a response to a caller.
+    pub fn record_response(&self, status: StatusCode, source: ResponseSource) {
+        self.responses.with_label_values(&[status.as_str(), source.name()]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut out = Vec::new();
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -14,7 +14,7 @@
 
 use crate::completion::GateResult;
 use crate::event::{self, Event};
-use crate::ingress::{Call, CallOutcome, DEFAULT_RETRY_AFTER};
+use crate::ingress::{ANSWERED, Call, CallOutcome, DEFAULT_RETRY_AFTER};
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::Node;
 use crate::pool::SendError;
@@ -120,7 +120,7 @@
             (GateOutcome::Answered, Some(response)) => {
                 progress.attempts += 1;
                 let failed = response.status().is_server_error();
-                let outcome = CallOutcome { name: "answered", response, sends: 0, usable: 0 };
+                let outcome = CallOutcome { name: ANSWERED, response, sends: 0, usable: 0 };
                 // The same call would be refused again.
                 let hopeless = result.reply.call_refused;
                 if !failed || hopeless || !self.may_resend(call, progress) {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -21,6 +21,7 @@
 
 use crate::activity::{Activity, Watched};
 use crate::event::{self, Event};
+use crate::metrics::ResponseSource;
 use crate::node::Node;
 use crate::response;
 use crate::settings::Settings;
@@ -220,6 +221,7 @@
         }
         let builder = connection_builder(&self.node, self.kind);
         let (node, kind) = (self.node, self.kind);
+        let logged_node = Arc::clone(&node);
         let service = service_fn(move |request| {
             let node = Arc::clone(&node);
             async move { Ok::<_, Infallible>(dispatch(&node, kind, from.ip(), request).await) }
@@ -244,11 +246,40 @@
             }
         };
         if let Err(error) = result {
-            event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
+            log_error(&logged_node, kind, from, &error);
         }
     }
 }
 
+/// Logs the error with which a connection ended, and counts it if the HTTP library has rejected a
+/// request.
+fn log_error(node: &Node, kind: ListenerKind, from: SocketAddr, error: &hyper::Error) {
+    let why = crate::pool::describe_error(error);
+    if !error.is_parse() {
+        return event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &why)]);
+    }
+    if kind != ListenerKind::Callers {
+        return event::warn(Event::ConnectionEnded, &[("from", &from), ("why", &why)]);
+    }
+    let (status, name) = if error.is_parse_too_large() {
+        (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head-too-large")
+    } else {
+        (StatusCode::BAD_REQUEST, "malformed")
+    };
+    node.metrics.record_call(None, name, 0);
+    node.metrics.record_response(status, ResponseSource::Library);
+    event::info(
+        Event::Call,
+        &[
+            ("id", &"none"),
+            ("ended", &name),
+            ("status", &status.as_u16()),
+            ("from", &from),
+            ("why", &why),
+        ],
+    );
+}
+
 async fn wait_for_close(close_signal: &mut watch::Receiver<bool>) {
     // An error means that the node was dropped, which closes the listener too.
     let _ = close_signal.wait_for(|closed| *closed).await;
--- a/crates/mesh/tests/metrics.rs
+++ b/crates/mesh/tests/metrics.rs
@@ -50,3 +50,21 @@
         assert!((0.0..60.0).contains(&age), "{name} {age}");
     }
 }
+
+#[tokio::test]
+async fn statuses_are_counted_by_who_chose_them() {
+    let fleet = Fleet::start(&["z"]).await;
+    fleet.get(0, "/get/1", "id-1").await;
+    fleet.get(0, "/none/1", "id-2").await;
+    let malformed = caller::send(fleet.callers(0), "GET /get/1 HTTP/1.1\r\nHost : x\r\n\r\n").await;
+    assert_eq!(malformed.status, 400);
+    let text = metrics(&fleet, 0).await;
+    for labels in [
+        "source=\"upstream\",status=\"200\"",
+        "source=\"node\",status=\"404\"",
+        "source=\"library\",status=\"400\"",
+    ] {
+        let name = format!("bbv_responses_total{{{labels}}}");
+        assert_eq!(value(&text, &name), Some(1.0), "{name}\n{text}");
+    }
+}
