Encode a cold rate without limit so that peers can decode it

Cause: a service without cold_per_s had an infinite rate, which JSON writes as null. No peer could decode the routing, nor any later change, since the history that peers send still held it. Change: the rate is optional, and so is its encoded form.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -53,8 +53,9 @@
     pub connections: u32,
     /// Time for which an upstream is cold after its start.
     pub cold: Micros,
-    /// Requests per second that a cold upstream can serve.
-    pub cold_rate: f64,
+    /// Requests per second that a cold upstream can serve; unlimited if there is none. Nodes exchange
+    /// it as JSON, which has no infinity.
+    pub cold_rate: Option<f64>,
 }
 
 /// Limits for the requests and connections of callers.
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -229,12 +229,11 @@
     /// Applies the state of the upstream beside this node to its admission.
     fn apply_local(&mut self, settings: &Settings) {
         let entry = self.local_entry(settings).map(|(_, up)| (up.slots, up.draining));
-        let cold_rate =
-            self.local_limits(settings).map_or(f64::INFINITY, |limits| limits.cold_rate);
+        let cold_rate = self.local_limits(settings).and_then(|limits| limits.cold_rate);
         let out = self.view.out.contains(settings.zone.as_str());
         let (slots, draining) =
             entry.as_ref().map_or((INITIAL_SLOTS, false), |(slots, draining)| (*slots, *draining));
-        self.admission.set_limits(slots, cold_rate);
+        self.admission.set_limits(slots, cold_rate.unwrap_or(f64::INFINITY));
         let gone = entry.is_none() && self.local.listed;
         self.local.listed |= entry.is_some();
         self.admission.set_closed(draining || gone || out || self.local.down);
