Take a failure without a signature for a lost answer

Cause: only a success had to bear the upstream's signature. A 3xx or 4xx without one, from whatever speaks at the upstream's address, was passed on as the answer. Callers saw: a status that says their proper request was wrong, which they do not send again; without a signature it counts as the mesh's own. Evidence: a stand-in that answers 404 without a signature: the caller gets 404. Change: an answer of any status without a signature ends the send as lost: 502, and a retry where the request may run again. Result: the new cases of path.rs with an id failed before (404) and pass; those without an id passed before and guard.

--- a/crates/mesh/src/response.rs
+++ b/crates/mesh/src/response.rs
@@ -33,7 +33,8 @@
 /// Checks the head of a response against the attempt id of the request.
 ///
 /// A response without the id may be a late copy of an earlier one, so that neither its body nor
-/// its claim that the request did not run can be trusted.
+/// its claim that the request did not run can be trusted. A failure without a signature may not
+/// come from the upstream; a caller that got its status would not try again.
 pub(crate) fn check(
     status: StatusCode,
     headers: &HeaderMap,
@@ -52,7 +53,7 @@
     if NOT_RUN_STATUSES.contains(&status) {
         return ResponseCheck::Invalid("response denies a run without the upstream's word");
     }
-    if status.is_success() && !header::is_signed(headers) {
+    if !header::is_signed(headers) {
         return ResponseCheck::Invalid("response is not signed");
     }
     if status.is_success() && headers.contains_key(CONTENT_ENCODING) {
--- a/crates/mesh/tests/path.rs
+++ b/crates/mesh/tests/path.rs
@@ -55,6 +55,10 @@
         (Behaviour::Unframed, "POST", "/post/1", 200, 1),
         (Behaviour::Rejects, "POST", "/post/1", 503, 0),
         (Behaviour::CopiesRefusal, "POST", "/post/1", 502, 1),
+        (Behaviour::DeniesUnsigned { identified: true }, "POST", "/post/1", 502, 1),
+        (Behaviour::DeniesUnsigned { identified: true }, "GET", "/get/1", 502, 2),
+        (Behaviour::DeniesUnsigned { identified: false }, "POST", "/post/1", 502, 1),
+        (Behaviour::DeniesUnsigned { identified: false }, "GET", "/get/1", 502, 2),
         (Behaviour::Denies, "POST", "/post/1", 502, 1),
         (Behaviour::Denies, "GET", "/get/1", 502, 2),
     ];
