Keep host, attempt id and signature whatever the Connection field names

Cause: every field that Connection names was removed, also those that say what a request is and whose answer a response is. Callers saw: 502 for a request that had run, since its answer came without the id; 503 where the upstream insists on the id; or an answer without the signature, which counts as the mesh's own. Change: host, attempt id and signature stay; other fields that Connection names are still removed. Result: attempt_id_and_host_are_passed_on_whatever_connection_names (known red until now) and signature_is_passed_on_whatever_connection_names fail without the change and pass.

--- a/crates/mesh/src/response.rs
+++ b/crates/mesh/src/response.rs
@@ -4,8 +4,8 @@
 use bbv_platform::header;
 use bytes::Bytes;
 use http::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::response::Parts;
 use http::{Method, Response, StatusCode};
@@ -65,6 +65,12 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Returns whether a field is meant for the other end of a request, whatever `Connection` says: it
+/// tells what the request is and whose answer a response is.
+fn is_end_to_end(name: &HeaderName) -> bool {
+    *name == HOST || header::is_identity(name)
+}
+
 /// Removes hop-by-hop headers.
 pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
     let connection_headers: Vec<HeaderName> = headers
@@ -73,6 +79,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !is_end_to_end(name))
         .collect();
     for name in connection_headers {
         headers.remove(name);
--- a/crates/mesh/tests/denied.rs
+++ b/crates/mesh/tests/denied.rs
@@ -141,7 +141,6 @@
 
 /// A `Connection` field that names the attempt id or the host took it from the request.
 #[tokio::test]
-#[ignore = "known red: lost-named-id"]
 async fn attempt_id_and_host_are_passed_on_whatever_connection_names() {
     let fleet = start_with_remote_upstream().await;
     for node in 0..2 {
@@ -155,3 +154,15 @@
         assert!(!run.headers.contains_key("x-own"), "a field of one connection is passed on");
     }
 }
+
+/// A `Connection` field that names the signature took it from the answer.
+#[tokio::test]
+async fn signature_is_passed_on_whatever_connection_names() {
+    let fleet = start_with_remote_upstream().await;
+    fleet.members[1].upstream.set_behaviour(Behaviour::NamesIdentity);
+    for node in 0..2 {
+        let id = format!("id-{node}");
+        let response = fleet.post(node, "/post/1", &id).await;
+        assert!(response.is_complete(&id), "node {node}: {response:?}");
+    }
+}
