Close callers' connections that raised limits have outgrown

Cause: the buffer for a head and the idle timeout of a connection are set when it is accepted. Callers saw: 431 on a kept connection for a head that the routing in force allows, once it was larger than the buffer; and a close before the idle time that it allows. Change: a connection with a smaller buffer or a shorter idle timeout than a new routing asks for closes as at a planned stop, after the request that has arrived; buffers start at 64 KiB, so that usual raises close none.

--- a/crates/mesh/src/head_limits.rs
+++ b/crates/mesh/src/head_limits.rs
@@ -1,9 +1,10 @@
-//! Limits on the heads of requests and responses at each hop.
+//! Limits on connections of callers, and on the heads of requests and responses at each hop.
 //!
 //! The configuration limits the size of a caller's header fields, and no other limit may refuse a
 //! request within it: the HTTP library answers a request beyond its own limits by itself.
 
 use bbv_core::route::CallerLimits;
+use bbv_core::units::Micros;
 use http::HeaderMap;
 
 /// Maximum number of header fields of a caller's request: all that fit into 16 KiB.
@@ -18,7 +19,7 @@
 const NODE_FIELDS: usize = 16;
 
 /// Smallest read buffer of a caller's connection.
-const MIN_BUFFER_BYTES: usize = 32_768;
+const MIN_BUFFER_BYTES: usize = 65_536;
 /// Bytes of a header field besides its name and value: a colon and the end of the line.
 const FIELD_OVERHEAD_BYTES: usize = 3;
 
@@ -28,6 +29,17 @@
     limits.head.saturating_mul(2).max(MIN_BUFFER_BYTES)
 }
 
+/// Returns whether a connection that was accepted under `accepted` has a smaller buffer or a shorter
+/// idle timeout than `now` allows callers to rely on.
+pub(crate) fn is_outgrown(accepted: &CallerLimits, now: &CallerLimits) -> bool {
+    buffer_bytes(now) > buffer_bytes(accepted) || idle_timeout(now) > idle_timeout(accepted)
+}
+
+/// Returns the time for which a connection may be idle or send a head.
+pub(crate) fn idle_timeout(limits: &CallerLimits) -> Micros {
+    limits.idle.max(limits.head_time)
+}
+
 /// Returns the size of header fields, without optional white space.
 pub(crate) fn field_bytes(headers: &HeaderMap) -> usize {
     let bytes = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -8,7 +8,7 @@
 
 use bbv_core::admission::AdmissionDequeued;
 use bbv_core::body_budget::BodyBudget;
-use bbv_core::route::Name;
+use bbv_core::route::{CallerLimits, Name};
 use bbv_core::units::{Micros, Revision, SEC};
 use bbv_core::view::Effect;
 use bbv_timer::Timer;
@@ -16,6 +16,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 
 use crate::event::{self, Event};
 use crate::head_limits;
@@ -43,6 +44,8 @@
     pub(crate) request_bodies: Arc<Mutex<BodyBudget>>,
     pub(crate) open_requests: AtomicU64,
     pub(crate) notice_socket: OnceLock<Arc<UdpSocket>>,
+    /// Limits of callers in the routing in force.
+    pub(crate) caller_limits: watch::Sender<Option<CallerLimits>>,
     next_id: AtomicU64,
     stopping: AtomicBool,
     leaving: AtomicBool,
@@ -84,6 +87,7 @@
             request_bodies: Arc::new(Mutex::new(BodyBudget::new(settings.request_memory))),
             open_requests: AtomicU64::new(0),
             notice_socket: OnceLock::new(),
+            caller_limits: watch::Sender::new(None),
             next_id: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -171,6 +175,8 @@
         let through = state.view.through;
         if effects.iter().any(|effect| matches!(effect, Effect::RoutingReplaced(_))) {
             state.routed_at = self.now();
+            let limits = state.view.routing.as_ref().map(|routing| routing.limits);
+            self.caller_limits.send_replace(limits);
         }
         for effect in effects {
             let change = describe_effect(effect);
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bbv_core::route::CallerLimits;
 use bbv_core::units::{MS, Micros};
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -219,7 +220,9 @@
         if let Err(error) = bbv_net::set_tcp_options(&stream) {
             event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &error)]);
         }
-        let builder = connection_builder(&self.node, self.kind);
+        let mut limits = self.node.caller_limits.subscribe();
+        let accepted = *limits.borrow_and_update();
+        let builder = connection_builder(self.kind, accepted);
         let (node, kind) = (self.node, self.kind);
         let logged_node = Arc::clone(&node);
         let service = service_fn(move |request| {
@@ -234,7 +237,7 @@
             // A request that has arrived is read before the connection counts as idle.
             biased;
             result = conn.as_mut() => result,
-            () = wait_for_close(&mut self.close_signal), if callers => {
+            () = wait_for_end(&mut self.close_signal, &mut limits, accepted), if callers => {
                 // The server would take half a request for none.
                 while activity.is_pending() {
                     if tokio::time::timeout(PENDING_POLL, conn.as_mut()).await.is_ok() {
@@ -285,8 +288,25 @@
     let _ = close_signal.wait_for(|closed| *closed).await;
 }
 
-/// Configures the HTTP server of a connection with the limits in force when it was accepted.
-fn connection_builder(node: &Node, kind: ListenerKind) -> http1::Builder {
+/// Waits until a connection has to close: the node stops, or the limits have been raised.
+async fn wait_for_end(
+    close_signal: &mut watch::Receiver<bool>,
+    limits: &mut watch::Receiver<Option<CallerLimits>>,
+    accepted: Option<CallerLimits>,
+) {
+    let outgrown = limits.wait_for(|now| match (&accepted, now) {
+        (Some(accepted), Some(now)) => head_limits::is_outgrown(accepted, now),
+        _ => false,
+    });
+    tokio::select! {
+        () = wait_for_close(close_signal) => {}
+        // An error means that the node was dropped, which closes the listener too.
+        _ = outgrown => {}
+    }
+}
+
+/// Configures the HTTP server of a connection with the limits in force when it is accepted.
+fn connection_builder(kind: ListenerKind, limits: Option<CallerLimits>) -> http1::Builder {
     let mut builder = http1::Builder::new();
     // The timeout covers both the idle time before a request and the reading of its head.
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
@@ -294,10 +314,8 @@
         ListenerKind::Peers => head_limits::PEER_FIELDS,
         ListenerKind::Callers | ListenerKind::Operators => head_limits::CALLER_FIELDS,
     });
-    let limits = node.lock().view.routing.as_ref().map(|routing| routing.limits);
     if let (ListenerKind::Callers, Some(limits)) = (kind, limits) {
-        let idle = limits.idle.max(limits.head_time);
-        builder.header_read_timeout(Duration::from_micros(idle));
+        builder.header_read_timeout(Duration::from_micros(head_limits::idle_timeout(&limits)));
         builder.max_buf_size(head_limits::buffer_bytes(&limits));
     }
     builder
--- a/crates/mesh/tests/denied.rs
+++ b/crates/mesh/tests/denied.rs
@@ -6,12 +6,15 @@
 use bbv_stand::fleet::{Fleet, limits, route, service, wait_until};
 use bbv_stand::upstream::Behaviour;
 use serde_json::json;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Largest size of the header fields of a request in the routing of a fleet.
 const HEAD_BYTES: usize = 16_384;
 
+/// Time within which an idle connection closes.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 /// Longer than the pause of a reader between two watches of the store.
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
@@ -73,22 +76,46 @@
     }
 }
 
+async fn publish_limits(fleet: &Fleet, version: u64, head_bytes: usize, idle_s: f64) {
+    let routing = json!({"version": version, "resources": [
+        route("get", "idempotent", "s", 5.0), service("s", 35.0), limits(head_bytes, idle_s)]});
+    fleet.store.put("op/config", &routing);
+    fleet.wait_until_applied().await;
+}
+
 /// A connection kept the limit on heads of the routing in force when it was accepted.
 #[tokio::test]
 async fn raised_head_limit_holds_on_open_connections() {
     let fleet = Fleet::start(&["z"]).await;
     let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("connect to the node");
     for (version, limit) in [(2, 8_192), (3, 30_000), (4, 30_000)] {
-        let routing = json!({"version": version, "resources": [
-            route("get", "idempotent", "s", 5.0), service("s", 35.0), limits(limit, 15.0)]});
-        fleet.store.put("op/config", &routing);
-        fleet.wait_until_applied().await;
+        publish_limits(&fleet, version, limit, 15.0).await;
         let text = request_of_size("/get/1", limit);
         stream.write_all(text.as_bytes()).await.expect("write to the open connection");
         assert_eq!(caller::read_response(&mut stream).await.status, 200, "version {version}");
     }
 }
 
+/// A connection went on with a buffer too small for the heads, or with an idle timeout too short for
+/// the pauses, that a later routing allows.
+#[tokio::test]
+async fn connections_close_when_limits_outgrow_them() {
+    for (head_bytes, idle_s) in [(60_000, 15.0), (8_192, 30.0)] {
+        let fleet = Fleet::start(&["z"]).await;
+        publish_limits(&fleet, 2, 8_192, 15.0).await;
+        let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("connect to the node");
+        let text = request_of_size("/get/1", 8_192);
+        stream.write_all(text.as_bytes()).await.expect("write to the open connection");
+        assert_eq!(caller::read_response(&mut stream).await.status, 200);
+        publish_limits(&fleet, 3, head_bytes, idle_s).await;
+        let closed = timeout(CLOSE_LIMIT, stream.read(&mut [0_u8; 16])).await;
+        let closed = closed.expect("an outgrown connection closes").expect("it ends in order");
+        assert_eq!(closed, 0, "bytes arrived without a request");
+        let text = request_of_size("/get/1", head_bytes);
+        assert_eq!(caller::send(fleet.callers(0), &text).await.status, 200);
+    }
+}
+
 /// More than 100 header fields of an answer ended its request with 502.
 #[tokio::test]
 async fn answer_with_many_header_fields_reaches_the_caller() {
