Pass streams through in one place

Change: Tapped passes a stream through and calls a closure for each read and write; Activity and Allowance supply the closures. No change of behaviour.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! pass. `bbv-core` makes the decisions; this crate does the I/O and supplies the time.
 
 mod activity;
+mod allowance;
 mod attempt;
 mod body;
 mod completion;
@@ -15,7 +16,6 @@
 mod ingress;
 pub mod logs;
 mod message;
-mod metered;
 mod metrics;
 mod node;
 mod notice;
@@ -28,6 +28,7 @@
 mod server;
 pub mod settings;
 mod state;
+mod tapped;
 
 pub use node::Node;
 pub use server::{RunningNode, start};
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -19,9 +19,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::allowance::Allowance;
 use crate::body::{self, BodyError};
 use crate::event::{self, Event};
-use crate::metered::{Allowance, Metered};
 
 /// Why a request has no response.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -153,7 +153,7 @@
         bbv_net::set_tcp_options(&stream).map_err(|error| error.to_string())?;
         let allowance = Allowance::default();
         allowance.set(MAX_HEAD_BYTES);
-        let stream = TokioIo::new(Metered::new(stream, allowance.clone()));
+        let stream = TokioIo::new(allowance.limit(stream));
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .max_headers(self.max_fields)
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
-use crate::activity::{Activity, Watched};
+use crate::activity::Activity;
 use crate::event::{self, Event};
 use crate::head_limits;
 use crate::ingress::HEAD_TOO_LARGE;
@@ -230,7 +230,7 @@
             async move { Ok::<_, Infallible>(dispatch(&node, kind, from.ip(), request).await) }
         });
         let activity = Activity::default();
-        let stream = TokioIo::new(Watched::new(stream, activity.clone()));
+        let stream = TokioIo::new(activity.watch(stream));
         let conn = builder.serve_connection(stream, service);
         let mut conn = std::pin::pin!(conn);
         let result = tokio::select! {
