Check that no node denies a proper request in the soak

Cause: a node that ends proper requests with a 3xx or 4xx of its own went unnoticed: the soak looked at runs, refusals and whole answers alone. Change: an answer with status 300 to 499 other than 408, 421 and 429 that the upstream has not signed is a violation, at any time of a run, and is reported with id, node, status and reason. Callers become a type.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -17,26 +17,39 @@
 /// Pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(15);
 
-/// Sends requests to one node, one after another, until `stop` is set.
-pub async fn send_requests(
-    node: SocketAddr,
-    name: String,
-    checker: Arc<Checker>,
-    stop: Arc<AtomicBool>,
-    next: Arc<AtomicU64>,
-) {
-    let mut connection: Option<TcpStream> = None;
-    while !stop.load(Ordering::Relaxed) {
-        let number = next.fetch_add(1, Ordering::Relaxed);
-        let idempotent = number.is_multiple_of(2);
-        let id = format!("{name}-{number}");
-        let (method, path) = if idempotent { ("GET", "/get/1") } else { ("POST", "/post/1") };
-        let ms = DEADLINE.as_millis() as u64;
-        let text = caller::request(method, path, &id, ms, if idempotent { "" } else { "body" });
-        let answer = exchange(node, &mut connection, &text).await;
-        let complete = answer.is_complete(&id);
-        checker.record(id, SentRequest { idempotent, status: answer.status, complete });
-        tokio::time::sleep(PAUSE).await;
+/// Caller of one node.
+pub struct Caller {
+    /// Address of the node for callers.
+    pub addr: SocketAddr,
+    /// Number of the node.
+    pub node: usize,
+    /// Start of the ids of its requests.
+    pub name: String,
+    /// Collects its requests.
+    pub checker: Arc<Checker>,
+    /// Whether to end.
+    pub stop: Arc<AtomicBool>,
+    /// Number of the next request of all callers.
+    pub next: Arc<AtomicU64>,
+}
+
+impl Caller {
+    /// Sends requests, one after another, until `stop` is set.
+    pub async fn run(self) {
+        let mut connection: Option<TcpStream> = None;
+        while !self.stop.load(Ordering::Relaxed) {
+            let number = self.next.fetch_add(1, Ordering::Relaxed);
+            let idempotent = number.is_multiple_of(2);
+            let id = format!("{}-{number}", self.name);
+            let (method, path) = if idempotent { ("GET", "/get/1") } else { ("POST", "/post/1") };
+            let ms = DEADLINE.as_millis() as u64;
+            let text = caller::request(method, path, &id, ms, if idempotent { "" } else { "body" });
+            let answer = exchange(self.addr, &mut connection, &text).await;
+            self.checker.check_denied(self.node, &id, &answer);
+            let complete = answer.is_complete(&id);
+            self.checker.record(id, SentRequest { idempotent, status: answer.status, complete });
+            tokio::time::sleep(PAUSE).await;
+        }
     }
 }
 
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use bbv_stand::caller::Response;
 use bbv_stand::upstream::ReceivedRequest;
 use parking_lot::Mutex;
 
@@ -26,6 +27,9 @@
 /// Statuses that guarantee that a request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Statuses with which a node may end a proper request: it is late, misdirected or over a limit.
+const ALLOWED_ENDS: [u16; 3] = [408, 421, 429];
+
 impl Checker {
     /// Records a request with its answer.
     pub fn record(&self, id: String, request: SentRequest) {
@@ -35,6 +39,17 @@
         self.requests.lock().insert(id, request);
     }
 
+    /// Checks that node `node` did not deny request `id`, which is proper under every version of the
+    /// routing: it may only end it with a status of 300 to 499 that comes from the upstream.
+    pub fn check_denied(&self, node: usize, id: &str, answer: &Response) {
+        let status = answer.status;
+        let signed = answer.header("bluebellvale-response-signature").is_some();
+        if (300..500).contains(&status) && !ALLOWED_ENDS.contains(&status) && !signed {
+            let reason = answer.header("bbv-reason").unwrap_or("none");
+            self.add_violation(format!("{id}: node {node} denied it: {status}, reason {reason}"));
+        }
+    }
+
     /// Records the violation of a guarantee.
     pub fn add_violation(&self, violation: String) {
         self.violations.lock().push(violation);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::callers;
+use crate::callers::Caller;
 use crate::checker::Checker;
 use crate::cold;
 use crate::faults::{self, Fault, Node};
@@ -147,17 +147,17 @@
 ) -> Vec<tokio::task::JoinHandle<()>> {
     let next = Arc::new(AtomicU64::new(0));
     let mut callers = Vec::new();
-    for index in 0..fleet.members.len() {
+    for node in 0..fleet.members.len() {
         for number in 0..CALLERS_PER_NODE {
-            let name = format!("c{index}.{number}");
-            let (checker, stop, next) = (Arc::clone(checker), Arc::clone(stop), Arc::clone(&next));
-            callers.push(tokio::spawn(callers::send_requests(
-                fleet.callers(index),
-                name,
-                checker,
-                stop,
-                next,
-            )));
+            let caller = Caller {
+                addr: fleet.callers(node),
+                node,
+                name: format!("c{node}.{number}"),
+                checker: Arc::clone(checker),
+                stop: Arc::clone(stop),
+                next: Arc::clone(&next),
+            };
+            callers.push(tokio::spawn(caller.run()));
         }
     }
     callers
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use bbv_soak::callers::Caller;
 use bbv_soak::checker::Checker;
 use bbv_soak::cold;
 use bbv_soak::versions::{VersionMonitor, version_route};
@@ -74,3 +75,53 @@
         assert_eq!(cold::overloads(&upstream).len(), violations, "{requests} requests");
     }
 }
+
+/// Answers each connection with `head` and an empty body.
+async fn answer_all(listener: TcpListener, head: String) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut bytes = [0_u8; 1_024];
+        let len = stream.read(&mut bytes).await.expect("could not read the request");
+        assert!(len > 0, "the caller closed the connection");
+        let text = format!("{head}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(text.as_bytes()).await.expect("could not write the answer");
+    }
+}
+
+/// Returns the violations that a caller finds at a node that answers with `head`.
+async fn violations_of(head: &str) -> Vec<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("could not bind a port");
+    let addr = listener.local_addr().expect("could not get the local address");
+    tokio::spawn(answer_all(listener, format!("HTTP/1.1 {head}")));
+    let (stop, checker) = (Arc::new(AtomicBool::new(false)), Arc::new(Checker::default()));
+    let caller = Caller {
+        addr,
+        node: 3,
+        name: "c3.0".to_owned(),
+        checker: Arc::clone(&checker),
+        stop: Arc::clone(&stop),
+        next: Arc::default(),
+    };
+    let task = tokio::spawn(caller.run());
+    while checker.counts().0 == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    task.await.expect("could not join the caller");
+    checker.check(&[])
+}
+
+/// A node with an incomplete view of its configuration, or that takes a part of a request for the
+/// whole, ends requests with a status that blames the caller, who doesn't send them again.
+#[tokio::test]
+async fn denied_requests_are_detected() {
+    let found = violations_of("404 Not Found\r\nBbv-Reason: no-route").await;
+    assert_eq!(found[0], "c3.0-0: node 3 denied it: 404, reason no-route");
+    for status in ["300 Multiple Choices", "400 Bad Request", "431 Too Large", "499 Other"] {
+        assert!(!violations_of(status).await.is_empty(), "{status} is a denial");
+    }
+    for status in ["408 Timeout", "421 Misdirected", "429 Too Many", "503 Unavailable"] {
+        assert!(violations_of(status).await.is_empty(), "{status} is allowed");
+    }
+    let signed = "404 Not Found\r\nBluebellvale-Response-Signature: s";
+    assert!(violations_of(signed).await.is_empty(), "the upstream's own status");
+}
