Let callers of the soak keep connections and vary their requests

Cause: every caller of the soak reused its connection only until an answer with Connection: close or a missed deadline, and sent small requests at once. Change: two of five callers use a connection until it ends, with heads of up to 16,384 bytes and 80 fields and bodies with a length or in chunks, after short random pauses; one in twenty sends in pieces.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod cold;
 pub mod faults;
 pub mod proxy;
+pub mod request;
 pub mod run;
 pub mod versions;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::callers::Caller;
+use crate::callers::{Caller, Habit};
 use crate::checker::Checker;
 use crate::cold;
 use crate::faults::{self, Fault, Node};
@@ -69,11 +69,13 @@
 
 /// Port of the upstreams; a proxy listens on the published port.
 const UPSTREAM_PORT: u16 = 21_006;
-const CALLERS_PER_NODE: usize = 3;
+const CALLERS_PER_NODE: usize = 5;
 /// Probability that an upstream turns cold along with a fault.
 const COLD_PROBABILITY: f64 = 0.12;
 /// XORed with the seed of a run to seed the cold periods.
 const COLD_SEED_MASK: u64 = 0xc01d;
+/// XORed with the seed of a run and the number of a caller to seed the caller.
+const CALLER_SEED_MASK: u64 = 0xca11_0000;
 /// Time within which a fleet without faults serves requests and has complete state again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Time within which a published change is in force when there are no faults.
@@ -95,7 +97,7 @@
     let checker = Arc::new(Checker::default());
     let stop = Arc::new(AtomicBool::new(false));
     let newest = Arc::new(AtomicU64::new(1));
-    let mut tasks = start_callers(&fleet, &checker, &stop);
+    let mut tasks = start_callers(&fleet, options.seed, &checker, &stop);
     tasks.extend(start_monitors(&fleet, &nodes, &checker, &newest, &stop));
     let faults = inject_faults(options, &fleet, &mut nodes, &newest, &mut rng).await?;
     faults::clear(&fleet, &mut nodes).await?;
@@ -140,8 +142,19 @@
     Ok(nodes)
 }
 
+/// Returns the habit of caller `number` of node `node`: three of five close their connections, and
+/// one in twenty sends in pieces.
+fn habit(node: usize, number: usize) -> Habit {
+    match number {
+        0..3 => Habit::Closes,
+        3 if node.is_multiple_of(4) => Habit::Pieces,
+        _ => Habit::Keeps,
+    }
+}
+
 fn start_callers(
     fleet: &Fleet,
+    seed: u64,
     checker: &Arc<Checker>,
     stop: &Arc<AtomicBool>,
 ) -> Vec<tokio::task::JoinHandle<()>> {
@@ -149,6 +162,7 @@
     let mut callers = Vec::new();
     for node in 0..fleet.members.len() {
         for number in 0..CALLERS_PER_NODE {
+            let caller_seed = seed ^ CALLER_SEED_MASK ^ (node * CALLERS_PER_NODE + number) as u64;
             let caller = Caller {
                 addr: fleet.callers(node),
                 node,
@@ -156,6 +170,8 @@
                 checker: Arc::clone(checker),
                 stop: Arc::clone(stop),
                 next: Arc::clone(&next),
+                habit: habit(node, number),
+                rng: SmallRng::seed_from_u64(caller_seed),
             };
             callers.push(tokio::spawn(caller.run()));
         }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,11 +5,14 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use bbv_soak::callers::Caller;
+use bbv_soak::callers::{Caller, Habit};
 use bbv_soak::checker::Checker;
 use bbv_soak::cold;
+use bbv_soak::request;
 use bbv_soak::versions::{VersionMonitor, version_route};
 use bbv_stand::upstream::{ReceivedRequest, Upstream};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -100,6 +103,8 @@
         checker: Arc::clone(&checker),
         stop: Arc::clone(&stop),
         next: Arc::default(),
+        habit: Habit::Closes,
+        rng: SmallRng::seed_from_u64(1),
     };
     let task = tokio::spawn(caller.run());
     while checker.counts().0 == 0 {
@@ -125,3 +130,21 @@
     let signed = "404 Not Found\r\nBluebellvale-Response-Signature: s";
     assert!(violations_of(signed).await.is_empty(), "the upstream's own status");
 }
+
+/// Requests of varying form are only proper within the published limits, of which the first is a
+/// head of 16,384 bytes.
+#[test]
+fn drawn_requests_keep_to_the_limits() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut largest = 0;
+    for method in ["GET", "POST"].repeat(500) {
+        let start = format!("{method} /x/1 HTTP/1.1\r\nHost: a.example\r\n");
+        let text = request::draw(&mut rng, start);
+        let (head, body) = text.split_once("\r\n\r\n").expect("the head has no end");
+        assert!(head.lines().count() <= 81, "more than 80 header fields");
+        assert!(body.is_empty() == (method == "GET"));
+        largest = largest.max(head.len() + 4);
+        assert_eq!(request::cut(&mut rng, &text).concat(), text.as_bytes());
+    }
+    assert_eq!(largest, 16_384);
+}
