Inject faults of the soak in bursts

Cause: the soak injected one fault at a time at one node, at least 20 ms apart, and changed the configuration at moments of calm signals. Change: bursts, drawn by a generator of their own, overlap the single faults: one fault at several nodes at once, up to eight in a row at one node, and changes of the configuration while nodes are paused, stopped, reloaded, killed or refused by the store. The single faults of a seed stay as they were.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,10 +1,12 @@
 //! Randomised runs of `bbv-mesh` processes on loopback addresses, with faults injected from
 //! outside.
 
+pub mod bursts;
 pub mod callers;
 pub mod checker;
 pub mod cold;
 pub mod faults;
+pub mod injector;
 pub mod proxy;
 pub mod request;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,8 +2,6 @@
 //! violated.
 
 use std::fmt;
-use std::fs::File;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -15,15 +13,16 @@
 use bbv_stand::process::Process;
 use bbv_stand::upstream::ReceivedRequest;
 use eyre::{Result, WrapErr, bail};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
 use crate::callers::{Caller, Habit};
 use crate::checker::Checker;
 use crate::cold;
-use crate::faults::{self, Fault, Node};
+use crate::faults::{self, Node};
+use crate::injector::Injector;
 use crate::proxy::Proxy;
-use crate::versions::{VersionMonitor, version_route};
+use crate::versions::VersionMonitor;
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -70,10 +69,6 @@
 /// Port of the upstreams; a proxy listens on the published port.
 const UPSTREAM_PORT: u16 = 21_006;
 const CALLERS_PER_NODE: usize = 5;
-/// Probability that an upstream turns cold along with a fault.
-const COLD_PROBABILITY: f64 = 0.12;
-/// XORed with the seed of a run to seed the cold periods.
-const COLD_SEED_MASK: u64 = 0xc01d;
 /// XORed with the seed of a run and the number of a caller to seed the caller.
 const CALLER_SEED_MASK: u64 = 0xca11_0000;
 /// Time within which a fleet without faults serves requests and has complete state again.
@@ -87,7 +82,6 @@
 
 /// Runs a fleet under faults and checks the guarantees.
 pub async fn run(options: &RunOptions) -> Result<Report> {
-    let mut rng = SmallRng::seed_from_u64(options.seed);
     let zones: Vec<&str> =
         (0..options.nodes).map(|index| if index % 2 == 0 { "a" } else { "b" }).collect();
     let fleet = Fleet::with_upstream_port(&zones, UPSTREAM_PORT).await;
@@ -99,7 +93,7 @@
     let newest = Arc::new(AtomicU64::new(1));
     let mut tasks = start_callers(&fleet, options.seed, &checker, &stop);
     tasks.extend(start_monitors(&fleet, &nodes, &checker, &newest, &stop));
-    let faults = inject_faults(options, &fleet, &mut nodes, &newest, &mut rng).await?;
+    let faults = Injector::new(options, &fleet, &mut nodes, &newest)?.run(options).await?;
     faults::clear(&fleet, &mut nodes).await?;
     wait_until_served(&fleet).await?;
     check_without_faults(&fleet, &checker).await;
@@ -199,42 +193,6 @@
     nodes.iter().enumerate().map(start).collect()
 }
 
-/// Injects faults for the duration of the run; returns their number.
-async fn inject_faults(
-    options: &RunOptions,
-    fleet: &Fleet,
-    nodes: &mut [Node],
-    newest: &AtomicU64,
-    rng: &mut SmallRng,
-) -> Result<usize> {
-    let started = Instant::now();
-    // A separate generator keeps the other faults of a seed as they were without cold periods.
-    let mut cold_rng = SmallRng::seed_from_u64(options.seed ^ COLD_SEED_MASK);
-    let mut log = File::create(options.folder.join("faults.log"))?;
-    let mut faults = 0;
-    let mut version = 1;
-    while started.elapsed() < options.duration {
-        tokio::time::sleep(Duration::from_millis(rng.random_range(20..400))).await;
-        faults::restart_ended(nodes)?;
-        let index = rng.random_range(0..nodes.len());
-        let mut drawn = vec![(index, Fault::draw(rng))];
-        if cold_rng.random_bool(COLD_PROBABILITY) {
-            drawn.push((cold_rng.random_range(0..nodes.len()), Fault::Cold));
-        }
-        for (index, fault) in drawn {
-            writeln!(log, "at_ms={} node={index} fault={fault:?}", started.elapsed().as_millis())?;
-            fault.inject(fleet, index, &mut nodes[index])?;
-            faults += 1;
-        }
-        if rng.random_bool(0.1) {
-            version += rng.random_range(1..4);
-            fleet.store.put("op/config", &fleet.config_with(version, &version_route(version)));
-            newest.store(version, Ordering::SeqCst);
-        }
-    }
-    Ok(faults)
-}
-
 /// Waits until every node answers with success.
 async fn wait_until_served(fleet: &Fleet) -> Result<()> {
     let started = Instant::now();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -5,9 +5,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use bbv_soak::bursts::{self, Action, Step};
 use bbv_soak::callers::{Caller, Habit};
 use bbv_soak::checker::Checker;
 use bbv_soak::cold;
+use bbv_soak::faults::Fault;
 use bbv_soak::request;
 use bbv_soak::versions::{VersionMonitor, version_route};
 use bbv_stand::upstream::{ReceivedRequest, Upstream};
@@ -148,3 +150,29 @@
     }
     assert_eq!(largest, 16_384);
 }
+
+/// A pause or refusal that a burst starts and never ends would hide a node from the rest of a run.
+#[test]
+fn bursts_end_what_they_start() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (mut most_nodes, mut most_versions) = (0, 0);
+    for _ in 0..500 {
+        let start = Duration::from_secs(3);
+        let steps = bursts::draw(&mut rng, 5, start);
+        assert!(steps.iter().all(|step| step.at >= start));
+        let count =
+            |wanted: fn(&Action) -> bool| steps.iter().filter(|step| wanted(&step.action)).count();
+        let pauses = |node| {
+            let of_node = |step: &&Step| matches!(step.action, Action::Inject(index, Fault::Pause) if index == node);
+            steps.iter().filter(of_node).count()
+        };
+        assert!((0..5).all(|node| pauses(node) % 2 == 0));
+        let refusals = count(|action| matches!(action, Action::Inject(_, Fault::Refuse(true))));
+        let ends = count(|action| matches!(action, Action::Inject(_, Fault::Refuse(false))));
+        assert_eq!(refusals, ends);
+        let kills = count(|action| matches!(action, Action::Inject(_, Fault::Kill)));
+        most_nodes = most_nodes.max(kills);
+        most_versions = most_versions.max(count(|action| matches!(action, Action::Publish)));
+    }
+    assert!(most_nodes >= 5 && most_versions >= 5, "{most_nodes} kills, {most_versions} versions");
+}
