Send bodies up to the limit in the soak

Cause: bodies of the soak had at most 8,192 bytes; the limit is 65,536. Change: one body in ten has 65,536 bytes, the others up to 2,048.

--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -9,10 +9,12 @@
 const MAX_FIELDS: usize = 80;
 /// Bytes of a header field that [`add_fields`] adds, with a value of one byte.
 const FIELD_BYTES: usize = 16;
-/// Largest body.
-const MAX_BODY_BYTES: usize = 8_192;
-/// Probability that a head has the largest size.
-const MAX_HEAD_PROBABILITY: f64 = 0.1;
+/// Largest body that the published limits allow.
+const MAX_BODY_BYTES: usize = 65_536;
+/// Largest body of most requests, since the stand-in upstreams keep all bodies.
+const USUAL_BODY_BYTES: usize = 2_048;
+/// Probability that a head has the largest size, and that a body has.
+const MAX_PROBABILITY: f64 = 0.1;
 
 /// Returns a proper request with the fields of `head`, which lacks the empty line, more fields up
 /// to a size that is drawn, and a body of either framing if the request is a `POST`.
@@ -28,7 +30,7 @@
     };
     head.push_str(&framing);
     let smallest = head.len() + 2 + fields * FIELD_BYTES;
-    let size = if rng.random_bool(MAX_HEAD_PROBABILITY) {
+    let size = if rng.random_bool(MAX_PROBABILITY) {
         MAX_HEAD_BYTES
     } else {
         rng.random_range(smallest..=MAX_HEAD_BYTES)
@@ -38,7 +40,8 @@
 }
 
 fn draw_body(rng: &mut SmallRng) -> String {
-    "b".repeat(rng.random_range(1..=MAX_BODY_BYTES))
+    let largest = rng.random_bool(MAX_PROBABILITY);
+    "b".repeat(if largest { MAX_BODY_BYTES } else { rng.random_range(1..=USUAL_BODY_BYTES) })
 }
 
 /// Returns `body` in chunks of sizes that are drawn.
