Announce the close of a connection whose request was refused before its body

Cause: an answer given before the whole body has arrived ends the connection, since the server cannot find the next request; the answer did not say so. Callers saw: a kept connection that closed on their next request, after a 404, 413, 431 or 503 to a request with a body. Change: Connection: close on refusals before the end of a body.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -12,7 +12,7 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use siphasher::sip::SipHasher13;
 
 use crate::body::{self, BodyError};
@@ -127,7 +127,11 @@
         let id = request.headers().get(header::ATTEMPT_ID).cloned();
         let node = Arc::clone(self);
         let mut guard = CallGuard { node, id: id.clone(), arrived, labels: None, finished: false };
-        let mut outcome = match self.read_call(request, arrived).await {
+        let has_body = !request.body().is_end_stream();
+        let call = self.read_call(request, arrived).await;
+        // The server closes a connection on which a part of a body is left.
+        let closes = has_body && call.is_err();
+        let mut outcome = match call {
             Ok(call) => {
                 guard.labels =
                     Some(RouteLabels { service: call.service.clone(), rank: call.route.rank });
@@ -147,7 +151,7 @@
         if let (Some(id), false) = (id, headers.contains_key(header::ATTEMPT_ID)) {
             headers.insert(header::ATTEMPT_ID, id);
         }
-        if self.stopping() {
+        if closes || self.stopping() {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         outcome.response
--- a/crates/mesh/tests/denied.rs
+++ b/crates/mesh/tests/denied.rs
@@ -213,3 +213,17 @@
         assert!(response.is_complete(&id), "node {node}: {response:?}");
     }
 }
+
+/// A connection on which a request was refused before its body had been read closed without notice.
+#[tokio::test]
+async fn refusal_before_the_body_announces_the_close() {
+    let fleet = Fleet::start(&["z"]).await;
+    let head = request("/none/1", "Content-Length: 60000\r\n").replace("GET", "POST");
+    for (text, closes) in [(head, true), (request("/none/1", ""), false)] {
+        let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("connect to the node");
+        stream.write_all(text.as_bytes()).await.expect("write to the open connection");
+        let response = caller::read_response(&mut stream).await;
+        assert_eq!(response.status, 404);
+        assert_eq!(response.header("connection") == Some("close"), closes);
+    }
+}
