Ignore an announced revision that the store does not know

Cause: a node that is behind reads the store, and a read ended its lag only until the next announcement. Nothing tested that a node that is behind reads the store at all, since its encoding was mended. Callers saw: nothing; the store's calls are priced and limited.

--- a/crates/core/tests/lag.rs
+++ b/crates/core/tests/lag.rs
@@ -46,3 +46,24 @@
     let later = 9 * LAG_LIMIT;
     assert_eq!(overdue_at(&mut lag, later, 2 * later, 9, 8), Some(later + LAG_LIMIT));
 }
+
+#[test]
+fn announcement_that_the_store_refutes_counts_once() {
+    let mut lag = Lag::default();
+    assert_eq!(overdue_at(&mut lag, 0, 2 * LAG_LIMIT, u64::MAX, 7), Some(LAG_LIMIT));
+    lag.record_read(7);
+    let later = 2 * LAG_LIMIT;
+    assert_eq!(overdue_at(&mut lag, later, 5 * later, u64::MAX, 7), None);
+    assert_eq!(overdue_at(&mut lag, 5 * later, 9 * later, 8, 7), Some(5 * later + LAG_LIMIT));
+}
+
+#[test]
+fn store_that_delivers_what_was_announced_refutes_nothing() {
+    let mut lag = Lag::new(5 * MS);
+    assert_eq!(overdue_at(&mut lag, 0, 2 * LAG_LIMIT, 9, 7), Some(LAG_LIMIT + NOTICE_INTERVAL));
+    lag.record_read(9);
+    assert_eq!(overdue_at(&mut lag, 2 * LAG_LIMIT, 4 * LAG_LIMIT, 9, 9), None);
+    let later = 4 * LAG_LIMIT;
+    let expected = Some(later + LAG_LIMIT + NOTICE_INTERVAL);
+    assert_eq!(overdue_at(&mut lag, later, 2 * later, 10, 9), expected);
+}
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -245,7 +245,8 @@
         let mut state = self.lock();
         state.store_failed = false;
         state.confirmed = true;
-        state.lag.record_read();
+        let through = state.view.through;
+        state.lag.record_read(through);
     }
 
     fn count_store_call(&self, result: &Result<Changes, StoreError>) {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -8,7 +8,7 @@
 use bbv_core::admission::{Admission, AdmissionDequeued};
 use bbv_core::history::History;
 use bbv_core::index::Index;
-use bbv_core::lag::Lag;
+use bbv_core::lag::{Lag, MAX_LAG_DELAY};
 use bbv_core::peer::Peer;
 use bbv_core::placement::{LoadReport, UpstreamStats};
 use bbv_core::poison::Suspects;
@@ -21,6 +21,7 @@
 use http::{HeaderValue, Response};
 use http_body_util::Full;
 use hyper::body::Body;
+use rand::Rng;
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
@@ -138,7 +139,7 @@
 
 impl State {
     /// Creates the state of a node that has received nothing yet.
-    pub fn new(now: Micros, settings: &Settings, rng: SmallRng) -> Self {
+    pub fn new(now: Micros, settings: &Settings, mut rng: SmallRng) -> Self {
         let vm = vm_of(settings.peers.ip()).0;
         let mut admission = Admission::new(INITIAL_SLOTS);
         // The first health check shows whether the upstream really is cold.
@@ -161,7 +162,7 @@
             local: LocalUpstream::default(),
             pulling: false,
             newer_peers: BTreeMap::new(),
-            lag: Lag::default(),
+            lag: Lag::new(rng.random_range(0..=MAX_LAG_DELAY)),
             history: History::default(),
             readers: Readers::new(u64::from(vm), &settings.zone),
             store_failed: true,
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -6,6 +6,7 @@
 
 use bbv_stand::caller;
 use bbv_stand::fleet::{Fleet, config, wait_until};
+use tokio::net::UdpSocket;
 
 #[tokio::test]
 async fn draining_upstream_gets_no_request() {
@@ -214,3 +215,53 @@
     let readers = fleet.members.iter().filter_map(|member| member.running.as_ref());
     assert_eq!(readers.filter(|running| running.node.reads_store()).count(), 1);
 }
+
+/// Notice that announces revision 2^28 - 1, which does not exist; its other values are those of an
+/// idle node.
+const WRONG_NOTICE: [u8; 16] = [0, 0, 0, 0xff, 0xff, 0xff, 0x7f, 0, 0, 9, 100, 0, 0, 0, 0, 0];
+
+/// Returns the sum of the metrics of member `index` whose lines start with `name`.
+async fn metric(fleet: &Fleet, index: usize, name: &str) -> f64 {
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let metrics = caller::send(fleet.members[index].settings.readiness, text).await.body;
+    let lines = metrics.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Starts six nodes and returns one that does not read the store.
+async fn start_with_follower() -> (Fleet, usize) {
+    let fleet = Fleet::start(&["z"; 6]).await;
+    // The first versions end watches that began while more nodes read the store.
+    for version in 2..6 {
+        fleet.store.put("op/config", &config(version, 5.0));
+        fleet.wait_until_applied().await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let reads = |index: &usize| {
+        let running = fleet.members[*index].running.as_ref().expect("the node runs");
+        running.node.reads_store()
+    };
+    let index = (0..6).find(|index| !reads(index)).expect("not all nodes read the store");
+    (fleet, index)
+}
+
+/// Sends wrong notices to member `index` for `period`.
+async fn send_wrong_notices(fleet: &Fleet, index: usize, period: Duration) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("could not bind");
+    let started = Instant::now();
+    while started.elapsed() < period {
+        let sent = socket.send_to(&WRONG_NOTICE, fleet.members[index].settings.notices).await;
+        sent.expect("could not send a notice");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// A node that could not get what its peers announced never read the store; one that is told of a
+/// revision that does not exist must not read it time and again.
+#[tokio::test]
+async fn node_that_cannot_get_an_announced_revision_reads_the_store_once() {
+    let (fleet, index) = start_with_follower().await;
+    let before = metric(&fleet, index, "bbv_store_calls_total").await;
+    send_wrong_notices(&fleet, index, Duration::from_secs(4)).await;
+    assert_eq!(metric(&fleet, index, "bbv_store_calls_total").await - before, 1.0);
+}
