Leave outages of the store to its readers

Cause: a node that reads the store since it is behind, and fails once, took that for an outage. When its next read went well it kept upstreams that were removed for the grace period after an outage, and peers that pull from it did as well. Callers saw: requests sent to an upstream that has left, up to 2.25 s longer; its gate refuses them while it stands. Change: only a failure of a reader starts an outage. Result: failed_read_of_a_node_that_is_behind_keeps_no_removed_upstream fails before (200 from the removed upstream) and passes.

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -221,7 +221,8 @@
                     if !store_lost {
                         event::warn(Event::StoreLost, &[("revision", &after), ("why", &error)]);
                     }
-                    store_lost = true;
+                    // A node that reads only because it is behind leaves outages to the readers.
+                    store_lost = self.lock().readers.is_reading();
                     reachable = false;
                     self.lock().store_failed = true;
                     let jitter = self.lock().rng.random_range(0..=backoff);
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -265,3 +265,25 @@
     send_wrong_notices(&fleet, index, Duration::from_secs(4)).await;
     assert_eq!(metric(&fleet, index, "bbv_store_calls_total").await - before, 1.0);
 }
+
+/// A failed read of a node that reads only because it is behind counted as an outage of the store, after
+/// which removed upstreams stay in use for a while.
+#[tokio::test]
+async fn failed_read_of_a_node_that_is_behind_keeps_no_removed_upstream() {
+    let (fleet, index) = start_with_follower().await;
+    let removed = (index + 1) % 6;
+    fleet.members[index].listener.refuse.store(true, Ordering::Relaxed);
+    send_wrong_notices(&fleet, index, Duration::from_millis(1_800)).await;
+    fleet.members[index].listener.refuse.store(false, Ordering::Relaxed);
+    send_wrong_notices(&fleet, index, Duration::from_millis(1_200)).await;
+    for other in (0..6).filter(|other| *other != removed) {
+        fleet.publish_upstream(other, "draining");
+    }
+    fleet.store.remove(&format!("servers/i-{removed}"));
+    fleet.wait_until_applied().await;
+    for number in 0..10 {
+        assert_eq!(fleet.get(index, "/get/1", &format!("id-{number}")).await.status, 503);
+    }
+    let refused = "bbv_admitted_total{ended=\"closed\"}";
+    assert_eq!(metric(&fleet, removed, refused).await, 0.0, "requests for a removed upstream");
+}
