Close connections from before the first routing if it outgrows them

Cause: limits of connections that were accepted before any routing was known were never compared with a routing. Change: such a connection counts as one with the library's buffer and the default idle timeout. Result: connections_from_before_the_routing_close_when_it_outgrows_them fails before and passes.

--- a/crates/mesh/src/head_limits.rs
+++ b/crates/mesh/src/head_limits.rs
@@ -4,7 +4,7 @@
 //! own, beyond which it answers a request by itself.
 
 use bbv_core::route::CallerLimits;
-use bbv_core::units::Micros;
+use bbv_core::units::{Micros, SEC};
 use http::HeaderMap;
 
 /// Maximum number of header fields of a caller's request. The HTTP library reserves memory for all of
@@ -19,6 +19,9 @@
 /// Number of header fields that a node and the HTTP library may add to a message.
 const NODE_FIELDS: usize = 16;
 
+/// Idle timeout of connections from other nodes and operators, and of callers before a routing is
+/// known; longer than the time for which nodes keep idle connections in their pools.
+pub(crate) const DEFAULT_IDLE_TIMEOUT: Micros = 16 * SEC;
 /// Smallest read buffer of a caller's connection.
 const MIN_BUFFER_BYTES: usize = 65_536;
 /// Bytes of a header field besides its name and value: a colon and the end of the line.
@@ -31,9 +34,12 @@
 }
 
 /// Returns whether a connection that was accepted under `accepted` has a smaller buffer or a shorter
-/// idle timeout than `now` allows callers to rely on.
-pub(crate) fn is_outgrown(accepted: &CallerLimits, now: &CallerLimits) -> bool {
-    buffer_bytes(now) > buffer_bytes(accepted) || idle_timeout(now) > idle_timeout(accepted)
+/// idle timeout than `now` allows callers to rely on. A connection that was accepted before any
+/// routing was known has the library's buffer and [`DEFAULT_IDLE_TIMEOUT`].
+pub(crate) fn is_outgrown(accepted: Option<&CallerLimits>, now: &CallerLimits) -> bool {
+    let buffer = accepted.map_or(usize::MAX, buffer_bytes);
+    let idle = accepted.map_or(DEFAULT_IDLE_TIMEOUT, idle_timeout);
+    buffer_bytes(now) > buffer || idle_timeout(now) > idle
 }
 
 /// Returns the time for which a connection may be idle or send a head.
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -22,16 +22,13 @@
 
 use crate::activity::Activity;
 use crate::event::{self, Event};
-use crate::head_limits;
+use crate::head_limits::{self, DEFAULT_IDLE_TIMEOUT};
 use crate::ingress::HEAD_TOO_LARGE;
 use crate::metrics::ResponseSource;
 use crate::node::Node;
 use crate::response;
 use crate::settings::Settings;
 
-/// Idle timeout of connections from other nodes and operators; longer than the time for which nodes
-/// keep idle connections in their pools.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
 /// Time from SIGTERM until caller connections are closed: two missed readiness checks and a margin.
 const UNREADY_PERIOD: Micros = 2_600 * MS;
 /// Time before the close at which other nodes are asked to send requests elsewhere; until then the
@@ -294,9 +291,8 @@
     limits: &mut watch::Receiver<Option<CallerLimits>>,
     accepted: Option<CallerLimits>,
 ) {
-    let outgrown = limits.wait_for(|now| match (&accepted, now) {
-        (Some(accepted), Some(now)) => head_limits::is_outgrown(accepted, now),
-        _ => false,
+    let outgrown = limits.wait_for(|now| {
+        now.as_ref().is_some_and(|now| head_limits::is_outgrown(accepted.as_ref(), now))
     });
     tokio::select! {
         () = wait_for_close(close_signal) => {}
@@ -309,7 +305,8 @@
 fn connection_builder(kind: ListenerKind, limits: Option<CallerLimits>) -> http1::Builder {
     let mut builder = http1::Builder::new();
     // The timeout covers both the idle time before a request and the reading of its head.
-    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
+    let idle_timeout = Duration::from_micros(DEFAULT_IDLE_TIMEOUT);
+    builder.timer(TokioTimer::new()).header_read_timeout(idle_timeout);
     builder.max_headers(match kind {
         ListenerKind::Peers => head_limits::PEER_FIELDS,
         ListenerKind::Callers | ListenerKind::Operators => head_limits::CALLER_FIELDS,
--- a/crates/mesh/tests/denied.rs
+++ b/crates/mesh/tests/denied.rs
@@ -227,3 +227,15 @@
         assert_eq!(response.header("connection") == Some("close"), closes);
     }
 }
+
+/// Connections that were accepted before a routing was known kept an idle timeout too short for it.
+#[tokio::test]
+async fn connections_from_before_the_routing_close_when_it_outgrows_them() {
+    let fleet = Fleet::start_unpublished(&["z"]).await;
+    let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("connect to the node");
+    stream.write_all(request("/get/1", "").as_bytes()).await.expect("write to the connection");
+    assert_eq!(caller::read_response(&mut stream).await.status, 503);
+    publish_limits(&fleet, 1, 8_192, 30.0).await;
+    let closed = timeout(CLOSE_LIMIT, stream.read(&mut [0_u8; 16])).await;
+    assert_eq!(closed.expect("the connection closes").expect("it ends in order"), 0);
+}
