--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -61,7 +61,7 @@
 /// Limits for the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
-    /// Maximum size of a request head in bytes.
+    /// Maximum size of the header fields of a request in bytes, without the request line.
     pub head: usize,
     /// Maximum size of a request body in bytes.
     pub body: usize,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -24,7 +24,7 @@
 
 /// Timeout of a request without a deadline.
 const DEFAULT_TIMEOUT: Micros = 30 * SEC;
-/// Number of characters of a path that are logged.
+/// Number of characters of a host or path that are logged.
 const MAX_LOGGED_CHARS: usize = 200;
 /// `Retry-After` of a refusal when no gate has given a time.
 pub(crate) const DEFAULT_RETRY_AFTER: Micros = 200 * MS;
@@ -264,12 +264,13 @@
 
 fn log_unrouted(routing: &Routing, head: &Parts) {
     let id = head.headers.get(header::ATTEMPT_ID).and_then(|id| id.to_str().ok());
-    let path: String = head.uri.path().chars().take(MAX_LOGGED_CHARS).collect();
+    let cut = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+    let (host, path) = (cut(host(head).unwrap_or("none")), cut(head.uri.path()));
     event::info(
         Event::CallUnrouted,
         &[
             ("id", &id.unwrap_or("none")),
-            ("host", &host(head).unwrap_or("none")),
+            ("host", &host),
             ("path", &path),
             ("version", &routing.version),
             ("routes", &routing.iter().count()),
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -44,6 +44,8 @@
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Part of the HTTP library's error for a URI that is longer than it allows.
+const LONG_URI: &str = "URI too long";
 /// Interval at which a connection to be closed is checked for a request that is arriving.
 const PENDING_POLL: Duration = Duration::from_millis(5);
 /// Delay before a task that panicked starts again.
@@ -237,31 +239,33 @@
             () = wait_for_end(&mut self.close_signal, &mut limits, accepted), if callers => {
                 // The server would take half a request for none.
                 while activity.is_pending() {
-                    if tokio::time::timeout(PENDING_POLL, conn.as_mut()).await.is_ok() {
-                        return;
+                    let result = tokio::time::timeout(PENDING_POLL, conn.as_mut()).await;
+                    if let Ok(result) = result {
+                        return log_end(&logged_node, kind, from, result);
                     }
                 }
                 conn.as_mut().graceful_shutdown();
                 conn.await
             }
         };
-        if let Err(error) = result {
-            log_error(&logged_node, kind, from, &error);
-        }
+        log_end(&logged_node, kind, from, result);
     }
 }
 
-/// Logs the error with which a connection ended, and counts it if the HTTP library has rejected a
-/// request.
-fn log_error(node: &Node, kind: ListenerKind, from: SocketAddr, error: &hyper::Error) {
-    let why = crate::pool::describe_error(error);
+/// Logs the error with which a connection ended, if any, and counts it if the HTTP library has
+/// rejected a request.
+fn log_end(node: &Node, kind: ListenerKind, from: SocketAddr, result: hyper::Result<()>) {
+    let Err(error) = result else { return };
+    let why = crate::pool::describe_error(&error);
     if !error.is_parse() {
         return event::debug(Event::ConnectionEnded, &[("from", &from), ("why", &why)]);
     }
     if kind != ListenerKind::Callers {
         return event::warn(Event::ConnectionEnded, &[("from", &from), ("why", &why)]);
     }
-    let (status, name) = if error.is_parse_too_large() {
+    let (status, name) = if why.contains(LONG_URI) {
+        (StatusCode::URI_TOO_LONG, "uri-too-long")
+    } else if error.is_parse_too_large() {
         (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, HEAD_TOO_LARGE)
     } else {
         (StatusCode::BAD_REQUEST, "malformed")
--- a/crates/mesh/tests/metrics.rs
+++ b/crates/mesh/tests/metrics.rs
@@ -58,11 +58,14 @@
     fleet.get(0, "/none/1", "id-2").await;
     let malformed = caller::send(fleet.callers(0), "GET /get/1 HTTP/1.1\r\nHost : x\r\n\r\n").await;
     assert_eq!(malformed.status, 400);
+    let long = caller::request("GET", &format!("/get/{}", "p".repeat(66_000)), "id-3", 3_000, "");
+    assert_eq!(caller::send(fleet.callers(0), &long).await.status, 414);
     let text = metrics(&fleet, 0).await;
     for labels in [
         "source=\"upstream\",status=\"200\"",
         "source=\"node\",status=\"404\"",
         "source=\"library\",status=\"400\"",
+        "source=\"library\",status=\"414\"",
     ] {
         let name = format!("bbv_responses_total{{{labels}}}");
         assert_eq!(value(&text, &name), Some(1.0), "{name}\n{text}");
