Check that open connections follow a larger limit on heads

Cause: a node takes the limit on heads when it accepts a connection. A caller that keeps its connection is ended with 431 for a head that is within the limit in force, however long ago that was published. Change: after the faults, the soak opens a connection to each node, publishes a limit of 32,768 bytes, and 2.5 s later sends a head of 24,576 on it.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod faults;
 pub mod injector;
+pub mod limits;
 pub mod proxy;
 pub mod request;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,7 @@
 use crate::cold;
 use crate::faults::{self, Node};
 use crate::injector::Injector;
+use crate::limits;
 use crate::proxy::Proxy;
 use crate::versions::VersionMonitor;
 
@@ -208,14 +209,19 @@
     Ok(())
 }
 
-/// Checks the limits of a fleet without faults: a published route is in force in time, and a
-/// draining upstream and an evacuated zone receive no more requests.
+/// Checks the limits of a fleet without faults: a published route and a larger limit on heads
+/// are in force in time, also on open connections, and a draining upstream and an evacuated zone
+/// receive no more requests.
 async fn check_without_faults(fleet: &Fleet, checker: &Checker) {
     tokio::time::sleep(SETTLING_TIME).await;
-    fleet.store.put("op/config", &fleet.config_with(1_000, "fresh"));
+    let connections = limits::open(fleet).await;
+    let mut config = fleet.config_with(1_000, "fresh");
+    limits::raise(&mut config);
+    fleet.store.put("op/config", &config);
     fleet.publish_upstream(0, "draining");
     fleet.store.put("op/evacuate/b", &serde_json::json!({}));
     tokio::time::sleep(IN_FORCE_LIMIT + TOLERANCE).await;
+    limits::check(connections, checker).await;
     for index in 0..fleet.members.len() {
         let text = caller::request("GET", "/fresh/1", "probe", 900, "");
         let status = caller::try_send(fleet.callers(index), &text).await.status;
