Keep the name of the signature field in the stand-ins

Cause: the soak's check of denied requests named a field of the platform outside platform/. Change: Response::is_signed of the stand-in caller. No change of behaviour.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -43,8 +43,7 @@
     /// routing: it may only end it with a status of 300 to 499 that comes from the upstream.
     pub fn check_denied(&self, node: usize, id: &str, answer: &Response) {
         let status = answer.status;
-        let signed = answer.header("bluebellvale-response-signature").is_some();
-        if (300..500).contains(&status) && !ALLOWED_ENDS.contains(&status) && !signed {
+        if (300..500).contains(&status) && !ALLOWED_ENDS.contains(&status) && !answer.is_signed() {
             let reason = answer.header("bbv-reason").unwrap_or("none");
             self.add_violation(format!("{id}: node {node} denied it: {status}, reason {reason}"));
         }
