--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,13 +6,12 @@
 
 use bbv_stand::fleet::Fleet;
 use bbv_stand::process::{Process, Signal};
+use bbv_stand::proxy::{MODES, Mode, Proxy};
 use bbv_stand::upstream::Behaviour;
 use eyre::{Result, WrapErr, bail};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::proxy::{MODES, Mode, Proxy};
-
 /// Fault at one node.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod faults;
 pub mod injector;
 pub mod limits;
-pub mod proxy;
 pub mod request;
 pub mod run;
 pub mod versions;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,6 +11,7 @@
 use bbv_stand::caller;
 use bbv_stand::fleet::Fleet;
 use bbv_stand::process::Process;
+use bbv_stand::proxy::Proxy;
 use bbv_stand::upstream::ReceivedRequest;
 use eyre::{Result, WrapErr, bail};
 use rand::SeedableRng;
@@ -22,7 +23,6 @@
 use crate::faults::{self, Node};
 use crate::injector::Injector;
 use crate::limits;
-use crate::proxy::Proxy;
 use crate::versions::VersionMonitor;
 
 /// Options of a run.
