Believe no refusal that may belong to an earlier request of the same id

What callers saw: a request that came again with the id it had when it was refused got 503, "did not run", although the upstream ran it. The upstream had written the earlier refusal once more on the kept connection.

Cause: a response was told from that of another request by its attempt id alone. If the connection had carried a request with the same id before, a copy of that request's refusal looked like the word on the new one. A caller that repeats an id makes it so, and so can the mesh: after a 421 for an instance that was replaced, a request may go to the new instance at the same address.

Change: a connection to the upstream holds hashes of the attempt ids that it has carried, and a request takes a connection that has not carried its id. It is closed after 1024 ids, so that it holds 8 KiB at most.

Why it works: all that can arrive on that connection before the response belongs to requests with other ids, or to health checks, which have none, and is already rejected.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -271,7 +271,11 @@
         let timeout = Duration::from_micros(deadline.saturating_sub(self.now()));
         header::set_target(&mut head.headers, timeout, Some(&metadata.instance));
         let request = Request::from_parts(head, Full::new(body));
-        let sent = self.upstream_pool.send(self.settings.upstream, request).await;
+        let upstream = self.settings.upstream;
+        let sent = match &attempt {
+            Some(attempt) => self.upstream_pool.send_attempt(upstream, request, attempt).await,
+            None => self.upstream_pool.send(upstream, request).await,
+        };
         let (response, conn) = match sent {
             Ok(sent) => sent,
             Err(SendError::Unsent(cause)) => {
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -3,18 +3,20 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bbv_core::body_budget::BodyBudget;
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use siphasher::sip::SipHasher13;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
@@ -48,6 +50,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     allowance: Allowance,
+    /// Hashes of the attempt ids of its requests.
+    attempts: Vec<u64>,
     idle_since: Instant,
     idle_timeout: Duration,
 }
@@ -68,6 +72,8 @@
     bodies: Arc<Mutex<BodyBudget>>,
 }
 
+/// Maximum number of requests with an attempt id on one connection, whose hashes it holds.
+const MAX_ATTEMPTS: usize = 1_024;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDR: usize = 64;
 /// Bytes that may arrive until a response head is complete, interim responses included.
@@ -77,6 +83,13 @@
 /// Bytes that may arrive per byte of a body, with chunk sizes, chunk extensions and trailers.
 const BYTES_PER_BODY_BYTE: u64 = 2;
 
+/// Hashes an attempt id. If two have the same hash, they only do not share a connection.
+fn hash(attempt: &HeaderValue) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(attempt.as_bytes());
+    hasher.finish()
+}
+
 impl Pool {
     /// Creates a pool that connects within `connect_timeout`, reuses connections that were idle
     /// for at most `idle_timeout`, and reads responses of at most `max_fields` header fields, and
@@ -112,9 +125,31 @@
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), SendError> {
-        let mut request = request;
-        while let Some(mut conn) = self.take_idle(addr) {
+        self.send_on(addr, request, None).await
+    }
+
+    /// Sends a request on a connection that has not carried a request with the id `attempt`, so that
+    /// no response with that id belongs to an earlier request.
+    ///
+    /// Dropping the future before it completes closes the connection.
+    pub async fn send_attempt(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        attempt: &HeaderValue,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        self.send_on(addr, request, Some(hash(attempt))).await
+    }
+
+    async fn send_on(
+        &self,
+        addr: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        attempt: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        while let Some(mut conn) = self.take_idle(addr, attempt) {
             conn.allowance.set(MAX_HEAD_BYTES);
+            conn.attempts.extend(attempt);
             match conn.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, conn)),
                 Err(mut error) => match error.take_message() {
@@ -125,6 +160,7 @@
             }
         }
         let mut conn = self.connect(addr).await.map_err(SendError::Unsent)?;
+        conn.attempts.extend(attempt);
         match conn.sender.try_send_request(request).await {
             Ok(response) => Ok((response, conn)),
             Err(mut error) => {
@@ -135,13 +171,16 @@
         }
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection that has not carried `attempt`.
+    fn take_idle(&self, addr: SocketAddr, attempt: Option<u64>) -> Option<Connection> {
         let mut idle = self.idle.lock();
         let list = idle.get_mut(&addr)?;
         list.retain(|conn| {
             !conn.sender.is_closed() && conn.idle_since.elapsed() < conn.idle_timeout
         });
-        let index = list.iter().rposition(|conn| conn.sender.is_ready())?;
+        let is_new =
+            |conn: &Connection| attempt.is_none_or(|attempt| !conn.attempts.contains(&attempt));
+        let index = list.iter().rposition(|conn| conn.sender.is_ready() && is_new(conn))?;
         Some(list.remove(index))
     }
 
@@ -168,13 +207,18 @@
         });
         let idle_timeout = self.idle_timeout;
         let idle_since = Instant::now();
-        Ok(Connection { addr, sender, driver, allowance, idle_since, idle_timeout })
+        let attempts = Vec::new();
+        Ok(Connection { addr, sender, driver, allowance, attempts, idle_since, idle_timeout })
     }
 
-    /// Returns a connection to the pool after its response was read completely.
+    /// Returns a connection to the pool after its response was read completely, or closes it if it
+    /// cannot hold more attempt ids.
     ///
     /// `idle_timeout` is the time after which the other side closes it, if that is known.
     pub fn put(&self, mut conn: Connection, idle_timeout: Option<Duration>) {
+        if conn.attempts.len() >= MAX_ATTEMPTS {
+            return;
+        }
         conn.idle_since = Instant::now();
         if let Some(timeout) = idle_timeout {
             conn.idle_timeout = timeout;
