--- a/crates/mesh/tests/odd_entries.rs
+++ b/crates/mesh/tests/odd_entries.rs
@@ -76,7 +76,7 @@
         values.push(entry(addr, "address", &format!("\"{address}\"")).into_bytes());
     }
     let long = format!("\"{}\"", "x".repeat(MEGABYTE));
-    for field in ["address", "state"] {
+    for field in ["address", "service", "zone", "state"] {
         values.push(entry(addr, field, &long).into_bytes());
     }
     values.push(vec![0xff; MEGABYTE]);
@@ -208,6 +208,27 @@
     assert_eq!(fleet.members[0].upstream.runs(), before);
 }
 
+/// Nodes passed entries with names of a megabyte on to each other, until a node could read no more
+/// changes from any other.
+#[tokio::test]
+async fn entries_with_long_names_do_not_cut_off_a_node_that_learns_from_others() {
+    let fleet = Fleet::start(&["z"; 3]).await;
+    fleet.members[2].listener.refuse.store(true, Ordering::Relaxed);
+    let long = format!("\"{}\"", "x".repeat(MEGABYTE));
+    let value = entry(&nowhere(), "service", &long).replace("ready", "draining");
+    for index in 0..24 {
+        fleet.store.put_bytes(&format!("servers/long-{index}"), value.as_bytes());
+        let newest = fleet.store.revision();
+        let reader = &fleet.members[0].running.as_ref().expect("node is running").node;
+        wait_until("a reader has applied the entry", || reader.revision() >= newest).await;
+    }
+    // The others list the store and have no history left for the node.
+    fleet.store.put_bytes("servers/odd", b"");
+    fleet.store.drop_history();
+    fleet.wait_until_applied().await;
+    check_nodes(&fleet, "long").await;
+}
+
 /// Entries with odd ids at the address of a good upstream do not take its requests.
 #[tokio::test]
 async fn odd_ids_at_a_good_address_lose_no_request() {
