Take a host with a dot at its end for the same host

Callers saw: 404 for Host a.example. although a.example has routes. Cause: routes were looked up by the name as it was sent, in lower case at most. Change: a host that has no routes is looked up once more without the dot of the root. A host with routes is found by the first look-up, as before. The request is passed on with the host that the caller sent.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -108,7 +108,7 @@
 
     /// Finds the route of a request: the one with the longest prefix of `path`.
     ///
-    /// `host` may contain a port; `path` has no query.
+    /// `host` may contain a port, and a dot after the name; `path` has no query.
     ///
     /// ```
     /// use bbv_core::route::{CallerLimits, Routing};
@@ -119,7 +119,7 @@
         let host = host.split_once(':').map_or(host, |(name, _)| name);
         let prefixes = match self.routes.get(host) {
             Some(prefixes) => prefixes,
-            None => self.routes.get(&host.to_ascii_lowercase())?,
+            None => self.find_host(&host.to_ascii_lowercase())?,
         };
         let mut end = path.rfind('/');
         while let Some(slash) = end {
@@ -131,6 +131,11 @@
         None
     }
 
+    /// Returns the routes of a host in lower case, with or without the dot of the root at its end.
+    fn find_host(&self, host: &str) -> Option<&BTreeMap<String, Arc<Route>>> {
+        self.routes.get(host).or_else(|| self.routes.get(host.strip_suffix('.')?))
+    }
+
     /// Iterates over all routes.
     ///
     /// ```
--- a/crates/mesh/tests/denied.rs
+++ b/crates/mesh/tests/denied.rs
@@ -309,3 +309,26 @@
     let closed = timeout(CLOSE_LIMIT, stream.read(&mut [0_u8; 16])).await;
     assert_eq!(closed.expect("the connection closes").expect("it ends in order"), 0);
 }
+
+/// A host with the dot of the root at its end was taken for another host.
+#[tokio::test]
+async fn host_with_a_trailing_dot_selects_the_same_routes() {
+    let fleet = start_with_remote_upstream().await;
+    for node in 0..2 {
+        for (host, status) in [
+            ("a.example.", 200),
+            ("A.Example.:80", 200),
+            ("a.example..", 404),
+            ("a.example.b", 404),
+            (".", 404),
+        ] {
+            let text = request("/get/1", "").replace("a.example", host);
+            let response = caller::send(fleet.callers(node), &text).await;
+            assert_eq!(response.status, status, "{host} at node {node}");
+        }
+    }
+    for run in fleet.members[1].upstream.requests.lock().iter() {
+        let host = run.headers.get("host").map(String::as_str);
+        assert!(host.is_some_and(|host| host.to_lowercase().starts_with("a.example.")));
+    }
+}
