--- a/crates/mesh/tests/odd_entries.rs
+++ b/crates/mesh/tests/odd_entries.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bbv_core::view::Topic;
 use bbv_core::view::Update;
 use bbv_platform::decode;
 use bbv_stand::caller;
@@ -220,7 +221,10 @@
         fleet.store.put_bytes(&format!("servers/long-{index}"), value.as_bytes());
         let newest = fleet.store.revision();
         let reader = &fleet.members[0].running.as_ref().expect("node is running").node;
-        wait_until("a reader has applied the entry", || reader.revision() >= newest).await;
+        wait_until("a reader has applied the entry", || {
+            reader.revision(Topic::Upstreams) >= newest
+        })
+        .await;
     }
     // The others list the store and have no history left for the node.
     fleet.store.put_bytes("servers/odd", b"");
