Soak: grow and shrink configurations behind a slow link, and hold changes to their bound

One node is behind a link of 10 Mbit/s; it and a second one get SIGHUP in place of faults that would disturb them. The versions of a burst add 200 routes at most. Each node that was not disturbed for 3 s is asked for routes that tell versions apart: what was acknowledged 2.5 s ago has to be in force, whole, and nothing older. An upstream that left gets no request later than that which was taken and sent on by such nodes. Tests show both checks failing when they should, that series are large and absences long enough, and that callers use connections on which the node asked for their end.

--- a/crates/soak/src/bursts.rs
+++ b/crates/soak/src/bursts.rs
@@ -15,6 +15,12 @@
     Inject(usize, Fault),
     /// Publishes a new version of the routing.
     Publish,
+    /// Publishes a version that adds this number of routes.
+    Resize(usize),
+    /// Publishes that the upstream of the node with this number leaves.
+    Leave(usize),
+    /// Publishes that it is ready again.
+    Return(usize),
 }
 
 /// Step of a burst.
@@ -92,6 +98,7 @@
     }
 }
 
-fn moment(rng: &mut SmallRng, span_ms: u64) -> Duration {
+/// Draws a time of up to `span_ms` milliseconds.
+pub fn moment(rng: &mut SmallRng, span_ms: u64) -> Duration {
     Duration::from_millis(rng.random_range(0..=span_ms))
 }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Compares the requests that callers sent, and their answers, with what the upstreams ran.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bbv_stand::caller::Response;
 use bbv_stand::upstream::ReceivedRequest;
@@ -22,6 +23,7 @@
 pub struct Checker {
     requests: Mutex<BTreeMap<String, SentRequest>>,
     violations: Mutex<Vec<String>>,
+    conclusive: AtomicUsize,
 }
 
 /// Statuses that guarantee that a request did not run and never will.
@@ -54,6 +56,16 @@
         self.violations.lock().push(violation);
     }
 
+    /// Counts a check of the routing in force if its answer told whether the route was there.
+    pub fn count_conclusive(&self, conclusive: bool) {
+        self.conclusive.fetch_add(usize::from(conclusive), Ordering::Relaxed);
+    }
+
+    /// Returns the number of checks of the routing in force that were conclusive.
+    pub fn conclusive(&self) -> usize {
+        self.conclusive.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of requests, and of those that succeeded.
     pub fn counts(&self) -> (usize, usize) {
         let requests = self.requests.lock();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! Faults drawn from a seed, and their injection into the nodes of a fleet.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bbv_stand::fleet::Fleet;
@@ -12,6 +12,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::calm::Disturbances;
+
 /// Fault at one node.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -49,6 +51,20 @@
     pub paused: bool,
     /// Number that changes whenever the process ends or starts.
     pub generation: Arc<AtomicU64>,
+    /// Whether the store refuses the node.
+    pub refused: Arc<AtomicBool>,
+    /// Times at which faults disturb the node.
+    pub disturbances: Arc<Disturbances>,
+}
+
+impl Node {
+    /// Records whether faults disturb the node at present.
+    fn record_disturbed(&self) {
+        let harmed =
+            [&self.store_proxy, &self.upstream_proxy].map(|proxy| *proxy.mode.lock() != Mode::Pass);
+        let refused = self.refused.load(Ordering::Relaxed);
+        self.disturbances.set(self.paused || self.stopping || refused || harmed.contains(&true));
+    }
 }
 
 /// Time for which [`Fault::Cold`] makes an upstream cold.
@@ -81,9 +97,22 @@
         }
     }
 
+    /// Returns whether the node or one of its links is disturbed from this fault on.
+    pub fn disturbs(self) -> bool {
+        match self {
+            Fault::Pause | Fault::Kill | Fault::Restart => true,
+            Fault::Refuse(refuse) => refuse,
+            Fault::StoreLink(mode) | Fault::UpstreamLink(mode) => mode != Mode::Pass,
+            Fault::Reload | Fault::Upstream(_) | Fault::Cold => false,
+        }
+    }
+
     /// Injects the fault at node `index`.
     pub fn inject(self, fleet: &Fleet, index: usize, node: &mut Node) -> Result<()> {
         let member = &fleet.members[index];
+        if self.disturbs() {
+            node.disturbances.set(true);
+        }
         match self {
             Fault::Pause if node.paused => {
                 node.paused = false;
@@ -104,12 +133,13 @@
                 signal(node, Signal::Term)?;
             }
             Fault::Reload => signal(node, Signal::Hup)?,
-            Fault::Refuse(refuse) => member.listener.refuse.store(refuse, Ordering::Relaxed),
+            Fault::Refuse(refuse) => node.refused.store(refuse, Ordering::Relaxed),
             Fault::StoreLink(mode) => *node.store_proxy.mode.lock() = mode,
             Fault::UpstreamLink(mode) => *node.upstream_proxy.mode.lock() = mode,
             Fault::Upstream(behaviour) => member.upstream.set_behaviour(behaviour),
             Fault::Cold => member.upstream.turn_cold(COLD_DURATION),
         }
+        node.record_disturbed();
         Ok(())
     }
 }
@@ -134,6 +164,7 @@
             node.generation.fetch_add(1, Ordering::SeqCst);
             node.process.restart().wrap_err("could not restart a node")?;
             node.stopping = false;
+            node.record_disturbed();
         }
     }
     Ok(())
@@ -142,7 +173,7 @@
 /// Ends all faults and waits until the processes that were stopped are restarted.
 pub async fn clear(fleet: &Fleet, nodes: &mut [Node]) -> Result<()> {
     for (member, node) in fleet.members.iter().zip(nodes.iter_mut()) {
-        member.listener.refuse.store(false, Ordering::Relaxed);
+        node.refused.store(false, Ordering::Relaxed);
         member.upstream.set_behaviour(Behaviour::Answers);
         *node.store_proxy.mode.lock() = Mode::Pass;
         *node.upstream_proxy.mode.lock() = Mode::Pass;
@@ -150,6 +181,7 @@
             node.paused = false;
             signal(node, Signal::Cont)?;
         }
+        node.record_disturbed();
     }
     while nodes.iter().any(|node| node.stopping) {
         restart_ended(nodes)?;
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -1,8 +1,10 @@
-//! Injects the faults of a run: single ones, and bursts that overlap them.
+//! Injects the faults of a run: single ones, and bursts and series of configurations that overlap
+//! them.
 
 use std::cmp::Reverse;
 use std::fs::File;
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -13,8 +15,10 @@
 
 use crate::bursts::{self, Action, Step};
 use crate::faults::{self, Fault, Node};
+use crate::growth;
+use crate::history::History;
+use crate::leaving::Absence;
 use crate::run::RunOptions;
-use crate::versions::version_route;
 
 /// Probability that an upstream turns cold along with a fault.
 const COLD_PROBABILITY: f64 = 0.12;
@@ -24,6 +28,12 @@
 const BURST_PROBABILITY: f64 = 0.2;
 /// XORed with the seed of a run to seed the bursts.
 const BURST_SEED_MASK: u64 = 0xb0b5;
+/// Largest number of added routes of the many versions of a burst, which the slow link has to carry.
+const MAX_BURST_ROUTES: usize = 200;
+/// Probability that a series of growing configurations starts along with a fault.
+const GROWTH_PROBABILITY: f64 = 0.3;
+/// XORed with the seed of a run to seed these series.
+const GROWTH_SEED_MASK: u64 = 0x960;
 
 /// Injects faults into the nodes of a fleet.
 pub struct Injector<'a> {
@@ -31,10 +41,17 @@
     nodes: &'a mut [Node],
     /// Newest version of the routing that was published.
     newest: &'a AtomicU64,
+    history: &'a Arc<History>,
+    /// Nodes without faults that disturb them.
+    calm: &'a [usize],
     started: Instant,
     log: File,
     /// Faults injected.
     count: usize,
+    /// Spans in which upstreams were published as leaving.
+    absences: Vec<Absence>,
+    /// Time from which the next series may start.
+    next_series: Duration,
     /// Steps of bursts to come, the latest first.
     steps: Vec<Step>,
 }
@@ -46,18 +63,33 @@
         fleet: &'a Fleet,
         nodes: &'a mut [Node],
         newest: &'a AtomicU64,
+        history: &'a Arc<History>,
+        calm: &'a [usize],
     ) -> Result<Self> {
         let log = File::create(options.folder.join("faults.log"))?;
         let started = Instant::now();
-        Ok(Injector { fleet, nodes, newest, started, log, count: 0, steps: Vec::new() })
+        Ok(Injector {
+            fleet,
+            nodes,
+            newest,
+            history,
+            calm,
+            started,
+            log,
+            count: 0,
+            absences: Vec::new(),
+            next_series: Duration::ZERO,
+            steps: Vec::new(),
+        })
     }
 
-    /// Injects faults for the duration of the run; returns their number.
-    pub async fn run(mut self, options: &RunOptions) -> Result<usize> {
+    /// Injects faults for the duration of the run; returns their number, and which upstreams left.
+    pub async fn run(mut self, options: &RunOptions) -> Result<(usize, Vec<Absence>)> {
         let mut rng = SmallRng::seed_from_u64(options.seed);
         // Separate generators keep the single faults of a seed as they were without the others.
         let mut cold_rng = SmallRng::seed_from_u64(options.seed ^ COLD_SEED_MASK);
         let mut burst_rng = SmallRng::seed_from_u64(options.seed ^ BURST_SEED_MASK);
+        let mut growth_rng = SmallRng::seed_from_u64(options.seed ^ GROWTH_SEED_MASK);
         while self.started.elapsed() < options.duration {
             self.wait(Duration::from_millis(rng.random_range(20..400))).await?;
             faults::restart_ended(self.nodes)?;
@@ -71,11 +103,26 @@
                 self.steps.extend(bursts::draw(&mut burst_rng, self.nodes.len(), now));
                 self.steps.sort_by_key(|step| Reverse(step.at));
             }
+            if growth_rng.random_bool(GROWTH_PROBABILITY) && options.routes > 0 {
+                self.add_series(&mut growth_rng, options.routes);
+            }
             if rng.random_bool(0.1) {
-                self.publish(rng.random_range(1..4))?;
+                self.publish(rng.random_range(1..4), None)?;
             }
         }
-        Ok(self.count)
+        self.end_absence()?;
+        Ok((self.count, self.absences))
+    }
+
+    /// Adds a series of growing configurations if the last one is long enough ago.
+    fn add_series(&mut self, rng: &mut SmallRng, routes: usize) {
+        let now = self.started.elapsed();
+        let series = growth::draw(rng, self.nodes.len(), routes, now);
+        if now >= self.next_series {
+            self.next_series = now + growth::MIN_PAUSE;
+            self.steps.extend(series);
+            self.steps.sort_by_key(|step| Reverse(step.at));
+        }
     }
 
     /// Waits for `pause`, and takes the steps of bursts that are due meanwhile.
@@ -86,28 +133,60 @@
             faults::restart_ended(self.nodes)?;
             match step.action {
                 Action::Inject(index, fault) => self.inject(index, fault)?,
-                Action::Publish => self.publish(1)?,
+                Action::Publish => {
+                    let routes = self.history.newest().routes.min(MAX_BURST_ROUTES);
+                    self.publish(1, Some(routes))?;
+                }
+                Action::Resize(routes) => self.publish(1, Some(routes))?,
+                Action::Leave(node) => self.begin_absence(node)?,
+                Action::Return(_) => self.end_absence()?,
             }
         }
         tokio::time::sleep_until((self.started + end).into()).await;
         Ok(())
     }
 
+    /// Injects `fault` at node `index`. A node that stays calm gets SIGHUP in place of one that
+    /// would disturb it.
     fn inject(&mut self, index: usize, fault: Fault) -> Result<()> {
+        let spared = fault.disturbs() && self.calm.contains(&index);
+        let fault = if spared { Fault::Reload } else { fault };
         let ms = self.started.elapsed().as_millis();
         writeln!(self.log, "at_ms={ms} node={index} fault={fault:?}")?;
         self.count += 1;
         fault.inject(self.fleet, index, &mut self.nodes[index])
     }
 
-    /// Publishes a version of the routing that is newer by `step`.
-    fn publish(&mut self, step: u64) -> Result<()> {
+    /// Publishes that the upstream of `node` leaves, unless another one is away.
+    fn begin_absence(&mut self, node: usize) -> Result<()> {
+        if self.absences.last().is_none_or(|absence| absence.end.is_some()) {
+            let ms = self.started.elapsed().as_millis();
+            writeln!(self.log, "at_ms={ms} node={node} leaves")?;
+            self.fleet.publish_upstream(node, "draining");
+            self.absences.push(Absence { node, acked: Instant::now(), end: None });
+        }
+        Ok(())
+    }
+
+    /// Publishes that the upstream that is away is ready again.
+    fn end_absence(&mut self) -> Result<()> {
+        if let Some(absence) = self.absences.last_mut().filter(|absence| absence.end.is_none()) {
+            let ms = self.started.elapsed().as_millis();
+            writeln!(self.log, "at_ms={ms} node={} returns", absence.node)?;
+            absence.end = Some(Instant::now());
+            self.fleet.publish_upstream(absence.node, "ready");
+        }
+        Ok(())
+    }
+
+    /// Publishes a version of the routing that is newer by `step` and adds `routes` routes, or as
+    /// many as the version before.
+    fn publish(&mut self, step: u64, routes: Option<usize>) -> Result<()> {
         let version = self.newest.load(Ordering::SeqCst) + step;
+        let routes = routes.unwrap_or(self.history.newest().routes);
         let ms = self.started.elapsed().as_millis();
-        writeln!(self.log, "at_ms={ms} version={version}")?;
-        self.fleet
-            .store
-            .put("op/config", &self.fleet.config_with(version, &version_route(version)));
+        writeln!(self.log, "at_ms={ms} version={version} routes={routes}")?;
+        self.history.publish(self.fleet, version, routes, |_| {});
         self.newest.store(version, Ordering::SeqCst);
         Ok(())
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,10 +3,15 @@
 
 pub mod bursts;
 pub mod callers;
+pub mod calm;
 pub mod checker;
 pub mod cold;
 pub mod faults;
+pub mod force;
+pub mod growth;
+pub mod history;
 pub mod injector;
+pub mod leaving;
 pub mod limits;
 pub mod request;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use bbv_soak::history::MAX_ROUTES;
 use bbv_soak::run::{RunOptions, run};
 use eyre::{Result, WrapErr, eyre};
 use getopts::Options;
@@ -11,7 +12,8 @@
 const USAGE: &str = "\
 bbv-soak: runs bbv-mesh nodes under seeded faults and checks their guarantees from outside
 
-usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--folder PATH]
+usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--routes N]
+    [--folder PATH]
 
 exit codes: 0 all guarantees held, 1 one was violated or a run failed, 2 bad usage
 ";
@@ -24,6 +26,7 @@
     options.optopt("", "seeds", "number of seeds", "N");
     options.optopt("", "seconds", "time with faults of each run", "N");
     options.optopt("", "nodes", "number of nodes of each run", "N");
+    options.optopt("", "routes", "largest number of routes that configurations add", "N");
     options.optopt("", "folder", "folder for settings and logs", "PATH");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
@@ -61,6 +64,7 @@
         let options = RunOptions {
             seed,
             nodes: number(matches, "nodes", 4)? as usize,
+            routes: number(matches, "routes", MAX_ROUTES as u64)? as usize,
             duration: Duration::from_secs(number(matches, "seconds", 12)?),
             program: PathBuf::from(&program),
             folder: PathBuf::from(&folder).join(seed.to_string()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,12 +18,16 @@
 use rand::rngs::SmallRng;
 
 use crate::callers::{Caller, Habit};
+use crate::calm::{BOUND, SETTLING_TIME};
 use crate::checker::Checker;
 use crate::cold;
 use crate::faults::{self, Node};
+use crate::force::ForceMonitor;
+use crate::history::History;
 use crate::injector::Injector;
+use crate::leaving::{Absence, late_requests};
 use crate::limits;
-use crate::versions::VersionMonitor;
+use crate::versions::{VersionMonitor, status_of, version_route};
 
 /// Options of a run.
 #[derive(Clone, Debug)]
@@ -34,6 +38,9 @@
     pub nodes: usize,
     /// Time for which faults are injected.
     pub duration: Duration,
+    /// Largest number of routes that configurations add; two nodes stay calm, and one of them is
+    /// behind a slow link, unless it is 0.
+    pub routes: usize,
     /// Path of the `bbv-mesh` program.
     pub program: PathBuf,
     /// Folder for settings and logs.
@@ -49,6 +56,10 @@
     pub succeeded: usize,
     /// Faults injected.
     pub faults: usize,
+    /// Checks of the routing in force that told whether a route was there.
+    pub conclusive: usize,
+    /// Times that an upstream left.
+    pub absences: usize,
     /// Guarantees violated.
     pub violations: Vec<String>,
 }
@@ -57,10 +68,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "sent={} good={} faults={} broken={}",
+            "sent={} good={} faults={} routing_checks={} departures={} broken={}",
             self.sent,
             self.succeeded,
             self.faults,
+            self.conclusive,
+            self.absences,
             self.violations.len()
         )?;
         self.violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
@@ -74,19 +87,28 @@
 const CALLER_SEED_MASK: u64 = 0xca11_0000;
 /// Time within which a fleet without faults serves requests and has complete state again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
-/// Time within which a published change is in force when there are no faults.
-const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
-/// Time after the last fault or change from which the limits of a fleet without faults hold.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
-/// Tolerance for the time that a measurement from outside takes.
-const TOLERANCE: Duration = Duration::from_millis(500);
+/// XORed with the seed of a run and the number of a node to seed its monitor of routes.
+const MONITOR_SEED_MASK: u64 = 0xf0_0000;
+/// Number of the version that is published once the faults have ended.
+const LAST_VERSION: u64 = 1_000;
+/// Rate of the slow link, in megabits per second.
+const SLOW_MBPS: f64 = 10.0;
 
 /// Runs a fleet under faults and checks the guarantees.
 pub async fn run(options: &RunOptions) -> Result<Report> {
     let zones: Vec<&str> =
         (0..options.nodes).map(|index| if index % 2 == 0 { "a" } else { "b" }).collect();
-    let fleet = Fleet::with_upstream_port(&zones, UPSTREAM_PORT).await;
+    let mut fleet = Fleet::with_upstream_port(&zones, UPSTREAM_PORT).await;
+    let slow = options.seed as usize % options.nodes;
+    let mut calm = Vec::new();
+    if options.routes > 0 {
+        fleet.slow_down(slow, SLOW_MBPS).await;
+        calm = vec![slow, (slow + 1) % options.nodes];
+    }
     fleet.publish();
+    let history = Arc::new(History::default());
+    history.begin(1, 0);
+    history.acknowledge(Instant::now());
     let mut nodes = start_nodes(options, &fleet).await?;
     wait_until_served(&fleet).await?;
     let checker = Arc::new(Checker::default());
@@ -94,10 +116,12 @@
     let newest = Arc::new(AtomicU64::new(1));
     let mut tasks = start_callers(&fleet, options.seed, &checker, &stop);
     tasks.extend(start_monitors(&fleet, &nodes, &checker, &newest, &stop));
-    let faults = Injector::new(options, &fleet, &mut nodes, &newest)?.run(options).await?;
+    tasks.extend(start_force_monitors(&fleet, options.seed, &nodes, &history, &checker, &stop));
+    let injector = Injector::new(options, &fleet, &mut nodes, &newest, &history, &calm)?;
+    let (faults, absences) = injector.run(options).await?;
     faults::clear(&fleet, &mut nodes).await?;
     wait_until_served(&fleet).await?;
-    check_without_faults(&fleet, &checker).await;
+    check_without_faults(&fleet, &checker, &history, options.routes).await;
     stop.store(true, Ordering::Relaxed);
     for task in tasks {
         task.await.wrap_err("could not join a caller or version monitor")?;
@@ -107,11 +131,19 @@
             .into_iter()
             .for_each(|violation| checker.add_violation(violation));
     }
+    check_absences(&fleet, &nodes, &absences, &checker);
     let requests = fleet.members.iter().map(|member| member.upstream.requests.lock().clone());
     let runs: Vec<ReceivedRequest> =
         requests.flatten().filter(|run| !run.has_id("probe")).collect();
     let (sent, succeeded) = checker.counts();
-    Ok(Report { sent, succeeded, faults, violations: checker.check(&runs) })
+    Ok(Report {
+        sent,
+        succeeded,
+        faults,
+        conclusive: checker.conclusive(),
+        absences: absences.len(),
+        violations: checker.check(&runs),
+    })
 }
 
 async fn start_nodes(options: &RunOptions, fleet: &Fleet) -> Result<Vec<Node>> {
@@ -124,14 +156,15 @@
         let (upstream_proxy, _) = Proxy::start(settings.upstream, member.upstream.addr).await?;
         let process = Process::start(&options.program, &options.folder, &settings)
             .wrap_err_with(|| format!("could not start {}", options.program.display()))?;
-        let generation = Arc::default();
         nodes.push(Node {
             process,
             store_proxy,
             upstream_proxy,
             stopping: false,
             paused: false,
-            generation,
+            generation: Arc::default(),
+            refused: Arc::clone(&member.listener.refuse),
+            disturbances: Arc::default(),
         });
     }
     Ok(nodes)
@@ -194,6 +227,43 @@
     nodes.iter().enumerate().map(start).collect()
 }
 
+/// Starts a monitor of the routes in force at each node.
+fn start_force_monitors(
+    fleet: &Fleet,
+    seed: u64,
+    nodes: &[Node],
+    history: &Arc<History>,
+    checker: &Arc<Checker>,
+    stop: &Arc<AtomicBool>,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let start = |(index, node): (usize, &Node)| {
+        let monitor = ForceMonitor {
+            name: format!("node {index}"),
+            node: fleet.callers(index),
+            history: Arc::clone(history),
+            disturbances: Arc::clone(&node.disturbances),
+            checker: Arc::clone(checker),
+            stop: Arc::clone(stop),
+            rng: SmallRng::seed_from_u64(seed ^ MONITOR_SEED_MASK ^ index as u64),
+            reported: 0,
+        };
+        tokio::spawn(monitor.run())
+    };
+    nodes.iter().enumerate().map(start).collect()
+}
+
+/// Checks that no upstream got requests from calm nodes while it was away.
+fn check_absences(fleet: &Fleet, nodes: &[Node], absences: &[Absence], checker: &Checker) {
+    let disturbances: Vec<_> = nodes.iter().map(|node| Arc::clone(&node.disturbances)).collect();
+    for absence in absences {
+        let upstream = &fleet.members[absence.node].upstream;
+        let runs = upstream.requests.lock();
+        if let Some(late) = late_requests(absence, &runs, upstream.started, &disturbances) {
+            checker.add_violation(late);
+        }
+    }
+}
+
 /// Waits until every node answers with success.
 async fn wait_until_served(fleet: &Fleet) -> Result<()> {
     let started = Instant::now();
@@ -209,25 +279,22 @@
     Ok(())
 }
 
-/// Checks the limits of a fleet without faults: a published route and a larger limit on heads
+/// Checks the limits of a fleet without faults: a published route, after which the configuration
+/// has `routes` more, and a larger limit on heads
 /// are in force in time, also on open connections, and a draining upstream and an evacuated zone
 /// receive no more requests.
-async fn check_without_faults(fleet: &Fleet, checker: &Checker) {
+async fn check_without_faults(fleet: &Fleet, checker: &Checker, history: &History, routes: usize) {
     tokio::time::sleep(SETTLING_TIME).await;
     let connections = limits::open(fleet).await;
-    let mut config = fleet.config_with(1_000, "fresh");
-    limits::raise(&mut config);
-    fleet.store.put("op/config", &config);
+    history.publish(fleet, LAST_VERSION, routes, limits::raise);
     fleet.publish_upstream(0, "draining");
     fleet.store.put("op/evacuate/b", &serde_json::json!({}));
-    tokio::time::sleep(IN_FORCE_LIMIT + TOLERANCE).await;
+    tokio::time::sleep(BOUND).await;
     limits::check(connections, checker).await;
     for index in 0..fleet.members.len() {
-        let text = caller::request("GET", "/fresh/1", "probe", 900, "");
-        let status = caller::try_send(fleet.callers(index), &text).await.status;
-        if status == 404 {
+        if status_of(fleet.callers(index), &version_route(LAST_VERSION)).await == 404 {
             checker.add_violation(format!(
-                "node {index} does not have a route {IN_FORCE_LIMIT:?} after it was published"
+                "node {index} does not have a route {BOUND:?} after it was published"
             ));
         }
     }
--- a/crates/soak/src/versions.rs
+++ b/crates/soak/src/versions.rs
@@ -15,7 +15,7 @@
 /// Deadline of a request to a node.
 const DEADLINE_MS: u64 = 400;
 /// Statuses that require a route in force: the request ran, or its upstream failed.
-const ROUTED: [u16; 4] = [200, 500, 502, 504];
+pub const ROUTED: [u16; 4] = [200, 500, 502, 504];
 
 /// Returns the name of the route that exists only in version `version` of the routing.
 pub fn version_route(version: u64) -> String {
@@ -75,10 +75,14 @@
     }
 
     async fn in_force(&self, version: u64) -> bool {
-        let path = format!("/{}/1", version_route(version));
-        let text = caller::request("GET", &path, "probe", DEADLINE_MS, "");
-        let limit = Duration::from_millis(2 * DEADLINE_MS);
-        let answer = tokio::time::timeout(limit, caller::try_send(self.node, &text)).await;
-        answer.is_ok_and(|answer| ROUTED.contains(&answer.status))
+        ROUTED.contains(&status_of(self.node, &version_route(version)).await)
     }
 }
+
+/// Returns the status of a request on route `name` to `node`; 0 if there is no answer in time.
+pub async fn status_of(node: SocketAddr, name: &str) -> u16 {
+    let text = caller::request("GET", &format!("/{name}/1"), "probe", DEADLINE_MS, "");
+    let limit = Duration::from_millis(2 * DEADLINE_MS);
+    let answer = tokio::time::timeout(limit, caller::try_send(node, &text)).await;
+    answer.map_or(0, |answer| answer.status)
+}
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,20 +3,26 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bbv_soak::bursts::{self, Action, Step};
 use bbv_soak::callers::{Caller, Habit};
+use bbv_soak::calm::{BOUND, Disturbances, SETTLING_TIME};
 use bbv_soak::checker::Checker;
 use bbv_soak::cold;
 use bbv_soak::faults::Fault;
+use bbv_soak::force::ForceMonitor;
+use bbv_soak::growth;
+use bbv_soak::history::{History, MAX_ROUTES, Mark};
+use bbv_soak::leaving::{Absence, late_requests};
 use bbv_soak::request;
 use bbv_soak::versions::{VersionMonitor, version_route};
+use bbv_stand::fleet::Fleet;
 use bbv_stand::upstream::{ReceivedRequest, Upstream};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Answers 200 on the route of the version in force, and 404 on any other.
 async fn serve(listener: TcpListener, in_force: Arc<AtomicU64>) {
@@ -176,3 +182,184 @@
     }
     assert!(most_nodes >= 5 && most_versions >= 5, "{most_nodes} kills, {most_versions} versions");
 }
+
+/// Answers 200 on the routes that a version has, and 404 on any other; the version is the number
+/// in `in_force`, and adds ten routes where its number is odd.
+async fn serve_marks(listener: TcpListener, in_force: Arc<AtomicU64>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut bytes = [0_u8; 1_024];
+        let len = stream.read(&mut bytes).await.expect("could not read the request");
+        let text = String::from_utf8_lossy(&bytes[..len]).into_owned();
+        let number = in_force.load(Ordering::SeqCst);
+        let mut marks = vec![Mark::Only(number)];
+        marks.extend((1..=number).map(Mark::Since));
+        marks.extend((0..if number % 2 == 1 { 10 } else { 0 }).map(Mark::Added));
+        let found = marks.iter().any(|mark| text.starts_with(&format!("GET /{}/1 ", mark.name())));
+        let status = if found { "200 OK" } else { "404 Not Found" };
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(text.as_bytes()).await.expect("could not write the answer");
+    }
+}
+
+/// Returns the violations found within 400 ms at a node that has version `in_force`, where versions
+/// 1 to 3 were acknowledged at `acked`; the node is `disturbed` before if so.
+async fn force_violations(in_force: u64, acked: Instant, disturbed: bool) -> Vec<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("could not bind a port");
+    let node = listener.local_addr().expect("could not get the local address");
+    tokio::spawn(serve_marks(listener, Arc::new(AtomicU64::new(in_force))));
+    let history = Arc::new(History::default());
+    let disturbances = Arc::new(Disturbances::since(acked));
+    for number in 1..=3 {
+        history.begin(number, if number % 2 == 1 { 10 } else { 0 });
+        history.acknowledge(acked);
+    }
+    disturbances.set(disturbed);
+    disturbances.set(false);
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    let (stop, checker) = (Arc::new(AtomicBool::new(false)), Arc::new(Checker::default()));
+    let monitor = ForceMonitor {
+        name: "node".to_owned(),
+        node,
+        history,
+        disturbances,
+        checker: Arc::clone(&checker),
+        stop: Arc::clone(&stop),
+        rng: SmallRng::seed_from_u64(1),
+        reported: 0,
+    };
+    let task = tokio::spawn(monitor.run());
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    stop.store(true, Ordering::SeqCst);
+    task.await.expect("could not join the monitor");
+    checker.check(&[])
+}
+
+/// A node that keeps an older version, or a part of it, serves dropped routes and denies added ones.
+#[tokio::test]
+async fn routing_that_is_late_is_detected() {
+    let now = Instant::now();
+    let late = now - BOUND;
+    for (in_force, acked, disturbed, count) in [
+        (3, late, false, 0),
+        (2, late, false, 1),
+        (1, late, false, 1),
+        (2, now, false, 0),
+        (2, late, true, 0),
+    ] {
+        let found = force_violations(in_force, acked, disturbed).await;
+        assert_eq!(found.len(), count, "{in_force} in force, disturbed {disturbed}: {found:?}");
+    }
+}
+
+/// A request to an upstream that leaves counts only if it is late at both nodes it has crossed.
+#[test]
+fn requests_to_leaving_upstreams_are_detected() {
+    let started = Instant::now() - Duration::from_secs(60);
+    let at = |ms: u64| started + Duration::from_millis(ms);
+    let absence = |end| Absence { node: 1, acked: at(10_000), end };
+    let run = |id: &str, ms: u64| ReceivedRequest {
+        at: Duration::from_millis(ms),
+        headers: [("bluebellvale-attempt-id".to_owned(), id.to_owned())].into(),
+        ..ReceivedRequest::default()
+    };
+    let calm = || Arc::new(Disturbances::since(started));
+    let disturbed = || {
+        let node = Disturbances::since(started);
+        node.add_span(at(11_000), Some(at(12_000)));
+        Arc::new(node)
+    };
+    let late = |id: &str, ms: u64, end: Option<u64>, nodes: &[Arc<Disturbances>]| {
+        late_requests(&absence(end.map(at)), &[run(id, ms)], started, nodes).is_some()
+    };
+    let calm_nodes = [calm(), calm()];
+    assert!(!late("c0.1-7", 12_400, None, &calm_nodes), "within the bound");
+    assert!(late("c0.1-7", 12_600, None, &calm_nodes), "later than the bound");
+    assert!(!late("c0.1-7", 12_600, Some(12_550), &calm_nodes), "it has returned");
+    assert!(!late("probe", 12_600, None, &calm_nodes), "no caller's request");
+    for nodes in [[calm(), disturbed()], [disturbed(), calm()]] {
+        let settled = 12_000 + (SETTLING_TIME + BOUND).as_millis() as u64;
+        assert!(!late("c0.1-7", 11_500, None, &nodes), "disturbed");
+        assert!(!late("c0.1-7", settled - 100, None, &nodes), "still settling");
+        assert!(late("c0.1-7", settled + 100, None, &nodes), "calm again");
+    }
+}
+
+/// A series without a large configuration, or whose upstream returns within the bound, finds nothing.
+#[test]
+fn series_have_large_configurations_and_long_absences() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let (mut largest, mut shrinks) = (0, 0);
+    for _ in 0..200 {
+        let mut steps = growth::draw(&mut rng, 4, MAX_ROUTES, Duration::from_secs(3));
+        steps.sort_by_key(|step| step.at);
+        let time = |wanted: fn(&Action) -> bool| {
+            steps.iter().find(|step| wanted(&step.action)).expect("a step is missing").at
+        };
+        let absence = time(|action| matches!(action, Action::Return(_)))
+            - time(|action| matches!(action, Action::Leave(_)));
+        assert!(absence > BOUND + Duration::from_secs(1));
+        let counts: Vec<usize> = steps
+            .iter()
+            .filter_map(
+                |step| if let Action::Resize(count) = step.action { Some(count) } else { None },
+            )
+            .collect();
+        shrinks += counts.windows(2).filter(|pair| pair[1] < pair[0]).count();
+        largest = largest.max(counts.iter().copied().max().unwrap_or(0));
+    }
+    assert!(largest == MAX_ROUTES && shrinks > 50, "{largest} routes, {shrinks} smaller versions");
+}
+
+/// The users' store takes items of less than 1 MB.
+#[tokio::test]
+async fn largest_configuration_is_close_to_the_limit_of_an_item() {
+    let fleet = Fleet::without_nodes(&["a"]).await;
+    let history = History::default();
+    let len = AtomicU64::new(0);
+    history.publish(&fleet, 1_000, MAX_ROUTES, |config| {
+        len.store(config.to_string().len() as u64, Ordering::SeqCst);
+    });
+    let len = len.load(Ordering::SeqCst);
+    assert!((900_000..1_000_000).contains(&len), "{len} bytes");
+}
+
+/// Callers that gave up a connection on SIGTERM would not meet a node that still reads from it.
+#[tokio::test]
+async fn callers_keep_connections_that_are_asked_to_close() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("could not bind a port");
+    let addr = listener.local_addr().expect("could not get the local address");
+    for (habit, kept) in [(Habit::Closes, false), (Habit::Keeps, true), (Habit::Pieces, true)] {
+        let (stop, checker) = (Arc::new(AtomicBool::new(false)), Arc::new(Checker::default()));
+        let caller = Caller {
+            addr,
+            node: 0,
+            name: "c0.0".to_owned(),
+            checker,
+            stop: Arc::clone(&stop),
+            next: Arc::default(),
+            habit,
+            rng: SmallRng::seed_from_u64(1),
+        };
+        let task = tokio::spawn(caller.run());
+        let (mut stream, _) = listener.accept().await.expect("no connection");
+        answer_and_close(&mut stream).await;
+        let mut byte = [0_u8; 1];
+        let len = stream.read(&mut byte).await.expect("could not read");
+        assert_eq!(len > 0, kept, "{habit:?}");
+        stop.store(true, Ordering::SeqCst);
+        drop(stream);
+        task.abort();
+    }
+}
+
+/// Reads a head from `stream` and answers that the connection is to be closed.
+async fn answer_and_close(stream: &mut TcpStream) {
+    let mut text = String::new();
+    while !text.contains("\r\n\r\n") {
+        let mut bytes = [0_u8; 4_096];
+        let len = stream.read(&mut bytes).await.expect("could not read the request");
+        text.push_str(&String::from_utf8_lossy(&bytes[..len]));
+    }
+    let answer = "HTTP/1.1 503 Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(answer.as_bytes()).await.expect("could not write the answer");
+}
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -29,10 +29,12 @@
     messages.lines().find_map(executable).expect("cargo did not name the program")
 }
 
-/// Runs `seed` for `duration` and checks that no guarantee is violated.
-fn check_seed(program: &Path, seed: u64, duration: Duration) {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(seed.to_string());
-    let options = RunOptions { seed, nodes: 4, duration, program: program.to_owned(), folder };
+/// Runs `seed` for `duration`, with configurations that add up to `routes` routes, and checks that
+/// no guarantee is violated.
+fn check_seed(program: &Path, seed: u64, duration: Duration, routes: usize) {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{seed}-{routes}"));
+    let program = program.to_owned();
+    let options = RunOptions { seed, nodes: 4, routes, duration, program, folder };
     let runtime = tokio::runtime::Runtime::new().expect("could not start the runtime");
     let report = runtime.block_on(run(&options)).expect("could not finish the run");
     assert!(report.violations.is_empty(), "seed {seed}: {report}");
@@ -43,7 +45,7 @@
     let program = build_program();
     // 102 and 115: SIGHUP arrived before the process had installed its handler and ended it.
     for seed in [1, 2, 102, 115] {
-        check_seed(&program, seed, Duration::from_secs(6));
+        check_seed(&program, seed, Duration::from_secs(6), 0);
     }
 }
 
@@ -52,5 +54,12 @@
 /// the default action ends the node once it continues.
 #[test]
 fn guarantees_hold_under_seeded_faults_seed_900() {
-    check_seed(&build_program(), 900, Duration::from_secs(8));
+    check_seed(&build_program(), 900, Duration::from_secs(8), 0);
+}
+
+/// Configurations follow in quick succession and upstreams leave, while two nodes stay calm and one
+/// of them is behind a slow link.
+#[test]
+fn changes_are_in_force_in_time_under_seeded_faults() {
+    check_seed(&build_program(), 1, Duration::from_secs(8), 1);
 }
