Announce a new routing to nodes of other zones at once

Change: a node that applies a new revision of the routing notifies two random nodes of other zones, besides the six of its own.

--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -70,6 +70,9 @@
 
 /// Number of nodes that are notified of a new revision at once.
 const ANNOUNCE_FANOUT: usize = 6;
+/// Number of nodes of other zones that are notified of a new routing at once, since the readers of a
+/// zone may be behind links that are too slow to read a large one from the store in time.
+const REMOTE_FANOUT: usize = 2;
 /// Step of the speed, in percent, from which a change is sent at once.
 const SPEED_STEP: u32 = 20;
 
@@ -190,9 +193,8 @@
         state.recent_ingresses.keys().copied().filter(wanted).collect()
     }
 
-    /// Announces a new revision to a few nodes of this zone, so that it reaches all of them in a
-    /// few hops and they pull from different nodes. A reader also sends heartbeats to the whole
-    /// zone.
+    /// Announces a new revision to a few nodes, so that it reaches all of them in a few hops and they
+    /// pull from different nodes. A reader also sends heartbeats to the whole zone.
     fn announce_revisions(
         &self,
         socket: &UdpSocket,
@@ -202,10 +204,13 @@
     ) {
         let known = Topic::ALL.map(|topic| self.revision(topic));
         if known != *announced {
-            *announced = known;
+            let [_, control] = std::mem::replace(announced, known);
             let mut peers = self.zone_peers();
             peers.shuffle(&mut self.lock().rng);
             peers.truncate(ANNOUNCE_FANOUT);
+            if known[1] != control {
+                peers.extend(self.remote_peers(REMOTE_FANOUT));
+            }
             self.send_to(socket, &peers, None);
         }
         if self.reads_store() && reader_notices.take_due(now, UrgentState::default(), HEARTBEAT) {
@@ -222,6 +227,15 @@
         vms.map(|(ip, _)| ip).collect()
     }
 
+    /// Returns up to `count` random nodes of other zones.
+    fn remote_peers(&self, count: usize) -> Vec<IpAddr> {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let zone = self.settings.zone.as_str();
+        let remote = state.index.vms().filter(|(_, vm_zone)| &***vm_zone != zone);
+        remote.map(|(ip, _)| ip).choose_multiple(&mut state.rng, count)
+    }
+
     pub(crate) fn random_peer(&self) -> Option<IpAddr> {
         let mut state = self.lock();
         let state = &mut *state;
--- a/crates/mesh/tests/growth.rs
+++ b/crates/mesh/tests/growth.rs
@@ -102,3 +102,24 @@
     }
     assert_eq!(fleet.members[0].upstream.runs(), 0);
 }
+
+/// A node alone in its zone read each of several large versions from the store, one after the other,
+/// although nodes of other zones had the last one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lone_node_behind_a_slow_link_skips_versions_in_quick_succession() {
+    let fleet = fleet_with_slow_node(&["a", "b", "b", "b"]).await;
+    for round in 1..=5_u64 {
+        let mut last = String::new();
+        for step in 1..=4 {
+            let (config, name) = grown_config(10 * round + step, 3_300 + step as usize);
+            fleet.store.put("op/config", &config);
+            last = name;
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        let time = served_after(&fleet, &format!("/{last}/x"), Instant::now()).await;
+        assert!(time < BOUND, "round {round}: in force after {time:?}");
+        let (config, _) = grown_config(10 * round + 5, 1);
+        fleet.store.put("op/config", &config);
+        fleet.wait_until_applied().await;
+    }
+}
