Keep zones and pages that are newer than what arrives after them

A test shows that a request without a route gets 503 while a newer routing is announced, and 404 once the store refutes it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
 //!   [`history`], [`index`], [`lag`], [`peer`], [`placement`], [`readers`], [`retry_budget`],
-//!   [`route`], [`slow_period`] and [`view`].
+//!   [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
--- a/crates/core/src/routing_page.rs
+++ b/crates/core/src/routing_page.rs
@@ -3,7 +3,7 @@
 //! A routing may be larger than a slow link carries within the time of one call. It is sent as
 //! changes to a routing that the receiver has, in pages of limited size. Which changes a page holds
 //! depends only on the two versions and the number of changes before it, so that the receiver can
-//! get each page from another node and never starts again.
+//! get each page from another node. It starts again only if no node that it asks has the version.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -62,7 +62,11 @@
 
 /// The newest routings of a node, from which it sends pages.
 #[derive(Clone, Debug, Default)]
-pub struct RecentRoutings(VecDeque<Published>);
+pub struct RecentRoutings {
+    published: VecDeque<Published>,
+    /// Version of the latest page sent, which is kept while other nodes may continue it.
+    sent: u64,
+}
 
 impl RecentRoutings {
     /// Adds a routing that is newer than all others.
@@ -76,14 +80,16 @@
     /// assert!(recent.get(3).is_some());
     /// ```
     pub fn push(&mut self, revision: Revision, routing: Arc<Routing>) {
-        self.0.push_back(Published { revision, routing });
-        while self.0.len() > KEPT_ROUTINGS {
-            self.0.pop_front();
+        self.published.push_back(Published { revision, routing });
+        while self.published.len() > KEPT_ROUTINGS {
+            let is_dropped = |old: &Published| old.routing.version != self.sent;
+            let index = self.published.iter().position(is_dropped).unwrap_or(0);
+            self.published.remove(index);
         }
     }
 
     fn find(&self, version: u64) -> Option<&Published> {
-        self.0.iter().find(|published| published.routing.version == version)
+        self.published.iter().find(|published| published.routing.version == version)
     }
 
     /// Returns the routing of `version`, if it is one of the newest.
@@ -103,8 +109,15 @@
     /// use bbv_core::routing_page::{PageRequest, RecentRoutings};
     /// assert_eq!(RecentRoutings::default().page(&PageRequest::default()), None);
     /// ```
-    pub fn page(&self, request: &PageRequest) -> Option<RoutingPage> {
-        let newest = self.0.back().filter(|newest| newest.routing.version > request.have)?;
+    pub fn page(&mut self, request: &PageRequest) -> Option<RoutingPage> {
+        let page = self.find_page(request)?;
+        self.sent = page.version;
+        Some(page)
+    }
+
+    fn find_page(&self, request: &PageRequest) -> Option<RoutingPage> {
+        let newest =
+            self.published.back().filter(|newest| newest.routing.version > request.have)?;
         let base = self.get(request.base);
         let continued = self
             .find(request.version)
@@ -153,6 +166,17 @@
     pub routing: Routing,
 }
 
+/// What a page was to the node that received it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PageResult {
+    /// It does not belong to the routing that is being received.
+    Ignored,
+    /// It was added to the pages received.
+    Added,
+    /// It was the last one.
+    Complete(ReceivedRouting),
+}
+
 /// Pages that a node has received of one routing.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingTransfer {
@@ -179,37 +203,46 @@
         }
     }
 
-    /// Adds a page; returns the routing once its last page has arrived.
-    ///
-    /// A page that does not follow the ones received is ignored, unless it is a first one.
+    /// Adds a page that follows the ones received, or the first page of another routing that is not
+    /// older. If a page of the same version does not fit, the pages received are dropped.
     ///
     /// ```
     /// use std::sync::Arc;
     /// use bbv_core::{
     ///     route::{CallerLimits, Routing},
-    ///     routing_page::{RecentRoutings, RoutingTransfer},
+    ///     routing_page::{PageResult, RecentRoutings, RoutingTransfer},
     /// };
     /// let limits = CallerLimits { head: 1, body: 1, head_time: 1, idle: 1 };
     /// let mut sender = RecentRoutings::default();
     /// sender.push(8, Arc::new(Routing::new(3, limits, Default::default(), Vec::new())));
     /// let mut transfer = RoutingTransfer::default();
     /// let page = sender.page(&transfer.request(0)).unwrap();
-    /// let received = transfer.add(page, &RecentRoutings::default()).unwrap();
-    /// assert_eq!((received.revision, received.routing.version), (8, 3));
+    /// let result = transfer.add(page, &RecentRoutings::default());
+    /// assert!(matches!(result, PageResult::Complete(received) if received.revision == 8));
     /// ```
-    pub fn add(&mut self, page: RoutingPage, known: &RecentRoutings) -> Option<ReceivedRouting> {
+    pub fn add(&mut self, page: RoutingPage, known: &RecentRoutings) -> PageResult {
         let last = page.last;
         match &mut self.received {
             Some(received) if received.is_followed_by(&page) => {
                 received.changes.extend(page.changes);
                 received.revision = received.revision.max(page.revision);
             }
+            Some(received) if page.version < received.version || received.holds(&page) => {
+                return PageResult::Ignored;
+            }
             _ if page.offset == 0 => self.received = Some(page),
-            _ => return None,
+            _ => {
+                self.received = None;
+                return PageResult::Ignored;
+            }
         }
         if !last {
-            return None;
+            return PageResult::Added;
         }
+        self.complete(known).map_or(PageResult::Ignored, PageResult::Complete)
+    }
+
+    fn complete(&mut self, known: &RecentRoutings) -> Option<ReceivedRouting> {
         let RoutingPage { revision, version, base, limits, services, changes, .. } =
             self.received.take()?;
         let base = match base {
@@ -223,6 +256,14 @@
 }
 
 impl RoutingPage {
+    /// Returns whether the changes of `page` are among these.
+    fn holds(&self, page: &RoutingPage) -> bool {
+        let range = page.offset..page.offset + page.changes.len();
+        (page.version, page.base) == (self.version, self.base)
+            && !page.changes.is_empty()
+            && self.changes.get(range).is_some_and(|held| held == page.changes)
+    }
+
     fn is_followed_by(&self, page: &RoutingPage) -> bool {
         page.offset > 0
             && (page.version, page.base, page.offset)
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -263,8 +263,36 @@
             Topic::Upstreams => self.missing_upstreams(&listing),
             Topic::Control => self.missing_zones(&listing),
         };
+        let zones_known = topic == Topic::Control && revision < self.zones_through;
         self.advance(topic, revision);
         let updates = listing.into_iter().chain(missing);
+        let updates = updates.filter(|update| !(zones_known && matches!(update, Update::Zone(..))));
+        let effects = updates.map(|update| self.apply(now, update));
+        effects.filter(|effect| *effect != Effect::Unchanged).collect()
+    }
+
+    /// Applies changes after the revision of `topic`, which are complete up to `through`. Changes of
+    /// zones that a peer has told before are left out. Returns the effects.
+    ///
+    /// ```
+    /// use bbv_core::view::{Topic, View};
+    /// let mut view = View::default();
+    /// assert!(view.apply_changes(0, Topic::Control, 7, Vec::new()).is_empty());
+    /// assert_eq!(view.control, 7);
+    /// ```
+    pub fn apply_changes(
+        &mut self,
+        now: Micros,
+        topic: Topic,
+        through: Revision,
+        changes: Vec<ViewChange>,
+    ) -> Vec<Effect> {
+        let zones_through = self.zones_through;
+        self.advance(topic, through);
+        let is_new = |change: &ViewChange| {
+            change.revision > zones_through || !matches!(change.update, Update::Zone(..))
+        };
+        let updates = changes.into_iter().filter(is_new).map(|change| change.update);
         let effects = updates.map(|update| self.apply(now, update));
         effects.filter(|effect| *effect != Effect::Unchanged).collect()
     }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -172,6 +172,9 @@
             format!("no route matched its host and path{request}{stale_note}")
         }
         "no-routing" => format!("the node had no routing yet{stale_note}"),
+        "routing-behind" => {
+            format!("no route matched, while the node was fetching a newer routing{stale_note}")
+        }
         "no-room" => format!("refused: {}{stale_note}", attempt_cause()),
         "lost" => format!("outcome unknown: {}", attempt_cause()),
         "expired" | "late" => format!("timed out: {}", attempt_cause()),
--- a/crates/mesh/src/exchange.rs
+++ b/crates/mesh/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bbv_core::route::Name;
-use bbv_core::routing_page::{PageRequest, RoutingPage};
+use bbv_core::routing_page::{PageRequest, PageResult, RoutingPage};
 use bbv_core::units::{MS, Micros, Revision};
 use bbv_core::view::{Effect, PublishedUpstream, Topic, ViewChange};
 use bytes::Bytes;
@@ -61,12 +61,25 @@
 struct ControlReply {
     /// Revision up to which this node knows the routing and zones.
     revision: Revision,
+    /// Revision up to which it knows zones.
+    zones_through: Revision,
     /// Zones out of service.
     out: BTreeSet<Name>,
     /// Next page, unless the peer has the routing.
     page: Option<RoutingPage>,
 }
 
+/// How a pull of routing and zones goes on after a reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PullStep {
+    /// This node knows what the sender knew.
+    Done,
+    /// A page was added, and more follow.
+    Next,
+    /// The page does not fit to those received.
+    Stuck,
+}
+
 fn query_number(head: &Parts, name: &str) -> Option<u64> {
     let pairs = head.uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
     pairs.into_iter().find(|(key, _)| *key == name)?.1.parse().ok()
@@ -190,40 +203,47 @@
             let PageRequest { have, base, version, offset } = request;
             let query = format!("have={have}&base={base}&version={version}&offset={offset}");
             let reply: ControlReply = self.fetch(from, &format!("{CONTROL_PATH}?{query}")).await?;
-            if self.apply_control(reply) {
-                return Ok(());
+            match self.apply_control(reply) {
+                PullStep::Done => return Ok(()),
+                PullStep::Next => {}
+                PullStep::Stuck => return Err("page of another transfer".to_owned()),
             }
         }
         Err(format!("more than {MAX_PAGES} pages"))
     }
 
-    /// Applies a reply; returns whether this node now knows what its sender knew.
-    fn apply_control(&self, reply: ControlReply) -> bool {
+    fn apply_control(&self, reply: ControlReply) -> PullStep {
         let now = self.now();
-        let (effects, complete) = {
+        let (effects, step) = {
             let mut state = self.lock();
             let state = &mut *state;
-            let mut effects = state.view.update_zones(now, reply.revision, reply.out);
-            let received = match reply.page {
-                Some(page) => {
-                    state.control.lag.record_progress(now);
-                    let received = state.transfer.add(page, &state.routings);
-                    received.map(|received| (received.revision, Some(received.routing)))
+            let mut effects = state.view.update_zones(now, reply.zones_through, reply.out);
+            let result = reply.page.map(|page| state.transfer.add(page, &state.routings));
+            let added = result != Some(PageResult::Ignored);
+            match result {
+                Some(PageResult::Complete(received)) => {
+                    state.view.advance(Topic::Control, received.revision);
+                    let effect = state.view.set_routing(Arc::new(received.routing));
+                    effects.extend(Some(effect).filter(|effect| *effect != Effect::Unchanged));
+                    state.record_routing();
                 }
-                None => Some((reply.revision, None)),
-            };
-            let complete = received.is_some();
-            if let Some((revision, routing)) = received {
-                state.view.advance(Topic::Control, revision);
-                let effect = routing.map(|routing| state.view.set_routing(Arc::new(routing)));
-                effects.extend(effect.filter(|effect| *effect != Effect::Unchanged));
-                state.record_routing();
-                state.control.confirmed = true;
+                Some(_) => {}
+                None => state.view.advance(Topic::Control, reply.revision),
+            }
+            if added {
+                state.control.lag.record_progress(now);
             }
-            (effects, complete)
+            let done = state.view.control >= reply.revision;
+            state.control.confirmed |= done;
+            let step = match (done, added) {
+                (true, _) => PullStep::Done,
+                (false, true) => PullStep::Next,
+                (false, false) => PullStep::Stuck,
+            };
+            (effects, step)
         };
         self.view_changed("peer", Topic::Control, &effects);
-        complete
+        step
     }
 
     /// Applies changes after revision `after`, unless the topic has changed since.
@@ -242,13 +262,10 @@
             if state.view.revision(topic) != after {
                 return;
             }
-            state.view.advance(topic, through);
             if topic == Topic::Upstreams {
                 state.history.extend(&changes);
             }
-            let updates = changes.into_iter().map(|change| change.update);
-            let effects = updates.map(|update| state.view.apply(now, update));
-            let effects = effects.filter(|effect| *effect != Effect::Unchanged).collect();
+            let effects = state.view.apply_changes(now, topic, through, changes);
             state.record_routing();
             effects
         };
@@ -319,7 +336,7 @@
         };
         let request = PageRequest { have, base, version, offset: offset as usize };
         let reply = {
-            let state = self.lock();
+            let mut state = self.lock();
             if !state.control.confirmed {
                 return response::local(StatusCode::SERVICE_UNAVAILABLE, "unconfirmed");
             }
@@ -328,7 +345,12 @@
             if let Some(page) = page.as_mut().filter(|page| Some(page.version) == newest) {
                 page.revision = state.view.control;
             }
-            ControlReply { revision: state.view.control, out: state.view.out.clone(), page }
+            ControlReply {
+                revision: state.view.control,
+                zones_through: state.view.zones_through,
+                out: state.view.out.clone(),
+                page,
+            }
         };
         encode(&reply)
     }
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -303,3 +303,16 @@
     let refused = "bbv_admitted_total{ended=\"closed\"}";
     assert_eq!(metric(&fleet, removed, refused).await, 0.0, "requests for a removed upstream");
 }
+
+/// A node that was fetching a newer routing denied requests for routes that only that routing has.
+#[tokio::test]
+async fn node_that_knows_of_a_newer_routing_does_not_deny_a_request() {
+    let (fleet, index) = start_with_follower().await;
+    assert_eq!(fleet.get(index, "/none/1", "id-before").await.status, 404);
+    send_wrong_notices(&fleet, index, Topic::Control, Duration::from_millis(300)).await;
+    assert_eq!(fleet.get(index, "/none/1", "id-behind").await.status, 503);
+    assert_eq!(fleet.get(index, "/get/1", "id-known").await.status, 200);
+    // The store does not know the announced revision.
+    send_wrong_notices(&fleet, index, Topic::Control, Duration::from_secs(2)).await;
+    assert_eq!(fleet.get(index, "/none/1", "id-after").await.status, 404);
+}
