Tell peers which upstreams are only kept, and for how long

Cause: after an outage a reader keeps upstreams whose entries are missing until they have had time to register again. Their receivers had no record that they were to expire; the reader dropped them 2.25 s later without a new revision, so that nobody told the others.

Change: a reply names the kept upstreams with the time left for each. The receiver keeps them for that time and no longer, and hands them on with what is left then. The same holds for changes: a removal that the sender waits with is not applied at once, nor kept for longer than at the sender.

--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -3,6 +3,7 @@
 //! Applies the changes that the platform or another node sends. It matters when the fleet
 //! changes and after an outage of the platform, not per request.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -135,6 +136,34 @@
         self.grace_end.saturating_sub(now)
     }
 
+    /// Returns the upstreams that are kept although their entries expired, with the time left for
+    /// each until it counts as gone.
+    ///
+    /// ```
+    /// assert!(bbv_core::view::View::default().kept(0).is_empty());
+    /// ```
+    pub fn kept(&self, now: Micros) -> BTreeMap<Name, Micros> {
+        let left = |until: &Micros| until.saturating_sub(now);
+        self.expired.iter().map(|(id, until)| (id.clone(), left(until))).collect()
+    }
+
+    /// Records that a peer only keeps the upstreams `kept`, each for the time left. Returns the
+    /// effects.
+    fn limit_kept(&mut self, now: Micros, kept: &BTreeMap<Name, Micros>) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (id, left) in kept.iter().filter(|(id, _)| self.upstreams.contains_key(*id)) {
+            let until = now + (*left).min(REGISTRATION_GRACE);
+            match self.expired.entry(id.clone()) {
+                Entry::Occupied(mut known) => *known.get_mut() = until.min(*known.get()),
+                Entry::Vacant(unknown) => {
+                    unknown.insert(until);
+                    effects.push(Effect::UpstreamExpired(id.clone()));
+                }
+            }
+        }
+        effects
+    }
+
     /// Extends the grace period to `left`, the remaining time that another node reported.
     ///
     /// The period never gets shorter, nor longer than [`REGISTRATION_GRACE`] from `now`.
@@ -343,11 +372,12 @@
     }
 
     /// Replaces the upstreams by those that a peer knows as of `through`, if its knowledge is newer.
+    /// The peer only keeps those in `kept`, each for the time left.
     ///
     /// ```
     /// use bbv_core::view::View;
     /// let mut view = View::default();
-    /// view.update_upstreams(0, 4, Default::default());
+    /// view.update_upstreams(0, 4, Default::default(), &Default::default());
     /// assert_eq!(view.through, 4);
     /// ```
     pub fn update_upstreams(
@@ -355,13 +385,42 @@
         now: Micros,
         through: Revision,
         upstreams: BTreeMap<Name, PublishedUpstream>,
+        kept: &BTreeMap<Name, Micros>,
     ) -> Vec<Effect> {
         if through <= self.through {
             return Vec::new();
         }
         let updates = upstreams.into_iter();
         let listing = updates.map(|(id, upstream)| Update::Upstream(id, Some(upstream))).collect();
-        self.replace(now, Topic::Upstreams, through, listing)
+        let mut effects = self.replace(now, Topic::Upstreams, through, listing);
+        effects.extend(self.limit_kept(now, kept));
+        effects
+    }
+
+    /// Applies changes of upstreams that a peer sent after this view's revision, complete up to
+    /// `through`. The peer only keeps those in `kept`, each for the time left. Returns the effects.
+    ///
+    /// ```
+    /// use bbv_core::view::View;
+    /// let mut view = View::default();
+    /// view.apply_upstreams(0, 4, Vec::new(), &Default::default());
+    /// assert_eq!(view.through, 4);
+    /// ```
+    pub fn apply_upstreams(
+        &mut self,
+        now: Micros,
+        through: Revision,
+        mut changes: Vec<ViewChange>,
+        kept: &BTreeMap<Name, Micros>,
+    ) -> Vec<Effect> {
+        let is_kept = |change: &ViewChange| match &change.update {
+            Update::Upstream(id, None) => kept.contains_key(id),
+            _ => false,
+        };
+        changes.retain(|change| !is_kept(change));
+        let mut effects = self.apply_changes(now, Topic::Upstreams, through, changes);
+        effects.extend(self.limit_kept(now, kept));
+        effects
     }
 
     /// Removes upstreams that did not register again within the grace period.
--- a/crates/mesh/src/exchange.rs
+++ b/crates/mesh/src/exchange.rs
@@ -44,6 +44,8 @@
     through: Revision,
     /// Remaining time for which upstreams whose entries expired during an outage are kept.
     keep: Micros,
+    /// Upstreams that are kept since their entries expired, each with the time left.
+    kept: BTreeMap<Name, Micros>,
     content: UpstreamsContent,
 }
 
@@ -171,24 +173,29 @@
             state.view.extend_grace(now, reply.keep);
             state.upstreams.confirmed = true;
         }
-        match reply.content {
+        let effects = self.apply_upstreams(now, since, reply);
+        self.view_changed("peer", Topic::Upstreams, &effects);
+        Ok(())
+    }
+
+    /// Applies the reply of a peer that was asked for changes after `since`, unless this node has
+    /// learned as much meanwhile.
+    fn apply_upstreams(&self, now: Micros, since: Revision, reply: UpstreamsReply) -> Vec<Effect> {
+        let UpstreamsReply { through, kept, content, .. } = reply;
+        let mut state = self.lock();
+        let state = &mut *state;
+        match content {
+            UpstreamsContent::Changes(_) if state.view.through != since => Vec::new(),
             UpstreamsContent::Changes(changes) => {
-                self.apply_changes("peer", Topic::Upstreams, since, reply.through, changes);
+                state.history.extend(&changes);
+                state.view.apply_upstreams(now, through, changes, &kept)
             }
+            UpstreamsContent::Snapshot(_) if through <= state.view.through => Vec::new(),
             UpstreamsContent::Snapshot(upstreams) => {
-                let effects = {
-                    let mut state = self.lock();
-                    let newer = reply.through > state.view.through;
-                    let effects = state.view.update_upstreams(now, reply.through, upstreams);
-                    if newer {
-                        state.history.reset(reply.through);
-                    }
-                    effects
-                };
-                self.view_changed("peer", Topic::Upstreams, &effects);
+                state.history.reset(through);
+                state.view.update_upstreams(now, through, upstreams, &kept)
             }
         }
-        Ok(())
     }
 
     /// Pulls zones and all pages of the routing. A page that does not arrive ends the pull; the
@@ -246,10 +253,9 @@
         step
     }
 
-    /// Applies changes after revision `after`, unless the topic has changed since.
+    /// Applies changes from the store after revision `after`, unless the topic has changed since.
     pub(crate) fn apply_changes(
         &self,
-        source: &str,
         topic: Topic,
         after: Revision,
         through: Revision,
@@ -269,7 +275,7 @@
             state.record_routing();
             effects
         };
-        self.view_changed(source, topic, &effects);
+        self.view_changed("store", topic, &effects);
     }
 
     async fn fetch<T: DeserializeOwned>(&self, from: IpAddr, path: &str) -> Result<T, String> {
@@ -321,6 +327,7 @@
             UpstreamsReply {
                 through: state.view.through,
                 keep: state.view.grace_left(now),
+                kept: state.view.kept(now),
                 content,
             }
         };
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -228,7 +228,7 @@
         follower.backoff = MIN_BACKOFF;
         follower.reachable = true;
         if std::mem::replace(&mut follower.listed, true) {
-            self.apply_changes("store", topic, after, changes.through, changes.changes);
+            self.apply_changes(topic, after, changes.through, changes.changes);
         } else {
             self.apply_listing(topic, changes);
         }
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -9,6 +9,11 @@
 use bbv_stand::fleet::{Fleet, config, wait_until};
 use tokio::net::UdpSocket;
 
+/// Outage of the store in which entries of upstreams can expire.
+const OUTAGE: Duration = Duration::from_millis(3_500);
+/// Longer than upstreams may take to register again after an outage.
+const REGISTRATION: Duration = Duration::from_millis(3_000);
+
 #[tokio::test]
 async fn draining_upstream_gets_no_request() {
     let fleet = Fleet::start(&["z", "z"]).await;
@@ -316,3 +321,30 @@
     send_wrong_notices(&fleet, index, Topic::Control, Duration::from_secs(2)).await;
     assert_eq!(fleet.get(index, "/none/1", "id-after").await.status, 404);
 }
+
+/// Nodes that got a snapshot from a reader used upstreams for good that the reader only kept until they
+/// would have registered again.
+#[tokio::test]
+async fn snapshot_of_a_peer_keeps_no_removed_upstream_for_good() {
+    let fleet = Fleet::start(&["z"; 6]).await;
+    let refuse_all = |refuse: bool| {
+        fleet
+            .members
+            .iter()
+            .for_each(|member| member.listener.refuse.store(refuse, Ordering::Relaxed));
+    };
+    refuse_all(true);
+    tokio::time::sleep(OUTAGE).await;
+    fleet.store.remove("servers/i-1");
+    fleet.store.remove("servers/i-3");
+    fleet.store.drop_history();
+    refuse_all(false);
+    fleet.wait_until_applied().await;
+    tokio::time::sleep(REGISTRATION).await;
+    let before = [1, 3].map(|index: usize| fleet.members[index].upstream.runs());
+    for number in 0..60 {
+        fleet.get(number % 6, "/get/1", &format!("id-{number}")).await;
+    }
+    let after = [1, 3].map(|index: usize| fleet.members[index].upstream.runs());
+    assert_eq!(before, after, "requests for removed upstreams");
+}
