Count only a store that stays away as its outage

Cause: any failed call to the store counted as an outage, also a watch that it cut, which the store's page allows at any time, and one call that was refused. The next answer started the 2.25 s in which missing entries are kept, although none can have expired in 0.1 s, and the readers handed that on.

Change: failed calls become an outage once the store has not answered for a heartbeat interval of the upstreams, the new setting heartbeat_s: a shorter outage hides one of three heartbeats at most. A watch that ends while it waits shows that the connection was sound until then; a response that cannot be decoded, 410 and other refusals below 500 are responses. Both topics share one record, so that one connection that fails alone beside a sound one is no outage. A node whose first answer after an outage is 410 gets the time for registrations from that answer on.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,9 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`history`], [`index`], [`lag`], [`peer`], [`placement`], [`readers`], [`retry_budget`],
-//!   [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and [`view`].
+//!   [`history`], [`index`], [`lag`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
+//!   [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
@@ -32,6 +33,7 @@
 pub mod limit;
 pub mod load;
 pub mod operation;
+pub mod outage;
 pub mod outcome;
 pub mod peer;
 pub mod placement;
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -31,6 +31,8 @@
     NoticeFailed,
     /// A health check got no response.
     ProbeFailed,
+    /// The store answers again after an outage in which entries of upstreams may have expired.
+    OutageEnded,
     /// Changes could not be fetched from another node or encoded for one.
     PullFailed,
     /// Settings were read again.
@@ -64,7 +66,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 26] = [
+pub const EVENTS: [Event; 27] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -77,6 +79,7 @@
     Event::NoticeFailed,
     Event::ProbeFailed,
     Event::PullFailed,
+    Event::OutageEnded,
     Event::Reloaded,
     Event::Started,
     Event::Stopped,
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -37,6 +37,9 @@
 /// Time without a successful pull after which such a node may become a reader.
 const ISOLATION_TIMEOUT: Micros = 1_500 * MS;
 
+/// Least status of a store that does not serve calls.
+const SERVER_ERROR: u16 = 500;
+
 /// Progress of a node in following one topic of the store.
 struct Follower {
     topic: Topic,
@@ -44,7 +47,7 @@
     backoff: Micros,
     /// Whether the next call may ask for changes only; a listing comes first otherwise.
     listed: bool,
-    /// Whether the store was lost while this node was a reader.
+    /// Whether the loss of the store was logged.
     lost: bool,
     /// Whether the last call was answered.
     reachable: bool,
@@ -163,7 +166,11 @@
                 // was a reader.
                 follower.lost = false;
                 follower.reachable = false;
-                let confirmed = self.lock().is_confirmed();
+                let confirmed = {
+                    let mut state = self.lock();
+                    state.outage.clear();
+                    state.is_confirmed()
+                };
                 let interval =
                     if confirmed { READER_CHECK_INTERVAL } else { CONFIRM_CHECK_INTERVAL };
                 self.timer.sleep(interval).await;
@@ -189,12 +196,16 @@
         // The first call does not wait for changes, so it shows at once whether the store is
         // reachable.
         let wait = if follower.reachable { WATCH_TIMEOUT } else { Duration::ZERO };
+        let asked = self.now();
         let result = if follower.listed {
             follower.store.watch(topic, after, wait).await
         } else {
             follower.store.list(topic, Freshness::Current).await
         };
         self.count_store_call(&result);
+        if matches!(result, Ok(_) | Err(StoreError::HistoryGone)) {
+            self.record_answer(asked);
+        }
         match result {
             Ok(changes) => {
                 self.apply_read(follower, after, changes);
@@ -207,12 +218,42 @@
                 follower.listed = false;
             }
             Err(error) => {
+                let due = asked + wait.as_micros() as Micros;
+                self.record_outage(due, &error);
                 let delay = self.record_failed_read(follower, after, &error);
                 self.timer.sleep(delay).await;
             }
         }
     }
 
+    /// Records that the store has answered a call that began at `asked`. If that ends an outage,
+    /// upstreams whose entries have expired get the time to register again.
+    fn record_answer(&self, asked: Micros) {
+        let now = self.now();
+        let mut state = self.lock();
+        if state.outage.record_answer(now, asked, self.settings.heartbeat) {
+            state.view.platform_recovered(now);
+            event::info(Event::OutageEnded, &[("revision", &state.view.through)]);
+        }
+    }
+
+    /// Records a failed call, whose answer was due at `due`, if the store may be away. A node that
+    /// reads only because it is behind leaves outages to the readers.
+    fn record_outage(&self, due: Micros, error: &StoreError) {
+        let now = self.now();
+        let since = match error {
+            StoreError::Unreachable(_) | StoreError::Refused(SERVER_ERROR..) => due.min(now),
+            // Until now the connection was sound, or parts of the response arrived.
+            StoreError::Cut(_) | StoreError::Incomplete(_) => now,
+            // The store has responded.
+            StoreError::Refused(_) | StoreError::Malformed(_) | StoreError::HistoryGone => return,
+        };
+        let mut state = self.lock();
+        if state.readers.is_reading() {
+            state.outage.record_failure(since);
+        }
+    }
+
     fn apply_read(&self, follower: &mut Follower, after: Revision, changes: Changes) {
         let topic = follower.topic;
         log_faults(&changes);
@@ -220,10 +261,6 @@
             let values: [(&str, &dyn std::fmt::Display); 2] =
                 [("topic", &topic.name()), ("revision", &after)];
             event::info(Event::StoreRegained, &values);
-            if topic == Topic::Upstreams {
-                let now = self.now();
-                self.lock().view.platform_recovered(now);
-            }
         }
         follower.backoff = MIN_BACKOFF;
         follower.reachable = true;
@@ -256,9 +293,8 @@
         follower.reachable = false;
         let backoff = follower.backoff;
         follower.backoff = (backoff * 2).min(MAX_BACKOFF);
+        follower.lost = true;
         let mut state = self.lock();
-        // A node that reads only because it is behind leaves outages to the readers.
-        follower.lost = state.readers.is_reading();
         state.knowledge(topic).store_failed = true;
         backoff / 2 + state.rng.random_range(0..=backoff)
     }
@@ -276,6 +312,7 @@
         let result = match result {
             Ok(_) => "ok",
             Err(StoreError::Unreachable(_)) => "unreachable",
+            Err(StoreError::Cut(_)) => "cut",
             Err(StoreError::Refused(_)) => "refused",
             Err(StoreError::HistoryGone) => "history-gone",
             Err(StoreError::Malformed(_)) => "malformed",
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -30,6 +30,8 @@
     pub platform: SocketAddr,
     /// Maximum time from SIGTERM to the end of the process.
     pub grace: Micros,
+    /// Interval at which upstreams renew their entries in the store.
+    pub heartbeat: Micros,
     /// Limit on the retries of all nodes together.
     pub retries: RetryLimit,
     /// Cost of a kilobyte sent between zones, as a share of the loss of a request.
@@ -44,6 +46,8 @@
 
 const DEFAULT_GRACE_S: f64 = 6.0;
 const MAX_GRACE_S: f64 = 3_600.0;
+const DEFAULT_HEARTBEAT_S: f64 = 1.5;
+const MAX_HEARTBEAT_S: f64 = 3_600.0;
 const DEFAULT_ZONE_KB_COST: f64 = 0.2;
 const MAX_ZONE_KB_COST: f64 = 100.0;
 const DEFAULT_REQUEST_MEMORY_MB: f64 = 64.0;
@@ -80,10 +84,18 @@
     RetryLimit {
         ratio: root.optional_float("retry_share", 0.0..=1.0).unwrap_or(defaults.ratio),
         burst: root.optional_float("retry_burst", 0.0..=MAX_RETRY_BURST).unwrap_or(defaults.burst),
-        window: window.map_or(defaults.window, |window| (window * SEC as f64) as Micros),
+        window: window.map_or(defaults.window, micros),
     }
 }
 
+fn micros(seconds: f64) -> Micros {
+    (seconds * SEC as f64) as Micros
+}
+
+fn time(root: &mut YamlReader<'_>, key: &str, most_s: f64, default_s: f64) -> Micros {
+    micros(root.optional_float(key, 0.0..=most_s).unwrap_or(default_s))
+}
+
 fn memory(root: &mut YamlReader<'_>, key: &str, default_mb: f64) -> usize {
     let mb = root.optional_float(key, MIN_MEMORY_MB..=MAX_MEMORY_MB).unwrap_or(default_mb);
     (mb * BYTES_PER_MB) as usize
@@ -103,7 +115,8 @@
             readiness: unset,
             notices: unset,
             platform: unset,
-            grace: (DEFAULT_GRACE_S * SEC as f64) as Micros,
+            grace: micros(DEFAULT_GRACE_S),
+            heartbeat: micros(DEFAULT_HEARTBEAT_S),
             retries: RetryLimit::default(),
             zone_kb_cost: DEFAULT_ZONE_KB_COST,
             request_memory: (DEFAULT_REQUEST_MEMORY_MB * BYTES_PER_MB) as usize,
@@ -132,8 +145,8 @@
             readiness: required_addr(root, "readiness"),
             notices: required_addr(root, "notices"),
             platform: required_addr(root, "platform"),
-            grace: (root.optional_float("grace_s", 0.0..=MAX_GRACE_S).unwrap_or(DEFAULT_GRACE_S)
-                * SEC as f64) as Micros,
+            grace: time(root, "grace_s", MAX_GRACE_S, DEFAULT_GRACE_S),
+            heartbeat: time(root, "heartbeat_s", MAX_HEARTBEAT_S, DEFAULT_HEARTBEAT_S),
             retries: retry_limit(root),
             zone_kb_cost: root
                 .optional_float("zone_kb_cost", 0.0..=MAX_ZONE_KB_COST)
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -9,6 +9,7 @@
 use bbv_core::history::History;
 use bbv_core::index::Index;
 use bbv_core::lag::MAX_LAG_DELAY;
+use bbv_core::outage::Outage;
 use bbv_core::peer::Peer;
 use bbv_core::placement::{LoadReport, UpstreamStats};
 use bbv_core::poison::Suspects;
@@ -132,6 +133,8 @@
     pub transfer: RoutingTransfer,
     /// Nodes of the zone that read the store.
     pub readers: Readers,
+    /// Outage of the store, while this node reads it.
+    pub outage: Outage,
     /// Random number generator for choices.
     pub rng: SmallRng,
 }
@@ -165,6 +168,7 @@
             routings: RecentRoutings::default(),
             transfer: RoutingTransfer::default(),
             readers: Readers::new(u64::from(vm), &settings.zone),
+            outage: Outage::default(),
             rng,
         }
     }
--- /dev/null
+++ b/crates/mesh/tests/store_calls.rs
@@ -0,0 +1,83 @@
+//! Tests which failed calls to the store count as its outage, and how long a call may wait on a
+//! connection that has gone silent.
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bbv_stand::fleet::Fleet;
+use bbv_stand::proxy::{Mode, Proxy};
+
+/// Time from the store's acknowledgement of a departure until the upstream may get no more requests.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Time from a failed call to the store to the change that follows.
+const GAP: Duration = Duration::from_millis(20);
+/// Longer than the pause of a reader between two calls, so that its watches wait.
+const SETTLED: Duration = Duration::from_millis(800);
+
+/// Sends requests to all nodes from now until [`DRAIN`] has passed and a while after it; returns how
+/// many of those after it reached upstream `removed`.
+async fn late_runs(fleet: &Fleet, removed: usize) -> usize {
+    let acked = Instant::now();
+    tokio::time::sleep_until((acked + DRAIN).into()).await;
+    let before = fleet.members[removed].upstream.runs();
+    for number in 0..60 {
+        fleet.get(number % fleet.members.len(), "/get/1", &format!("id-{number}")).await;
+    }
+    fleet.members[removed].upstream.runs() - before
+}
+
+/// A watch that the store cut counted as an outage of the store, after which an upstream that had left
+/// stayed in use for 2.25 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn cut_watch_keeps_no_removed_upstream() {
+    let (fleet, proxies) = Fleet::start_with_proxies(&["a", "a", "b", "b"]).await;
+    tokio::time::sleep(SETTLED).await;
+    proxies.iter().for_each(Proxy::reset_open);
+    tokio::time::sleep(GAP).await;
+    fleet.store.remove("servers/i-1");
+    assert_eq!(late_runs(&fleet, 1).await, 0);
+}
+
+/// A store that refused a few calls in a row counted as away, though no entry can expire meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refusals_shorter_than_a_heartbeat_keep_no_removed_upstream() {
+    let (fleet, proxies) = Fleet::start_with_proxies(&["a", "a", "b", "b"]).await;
+    let refuse = |refuse: bool| {
+        let listeners = fleet.members.iter().map(|member| &member.listener);
+        listeners.for_each(|listener| listener.refuse.store(refuse, Ordering::Relaxed));
+    };
+    refuse(true);
+    proxies.iter().for_each(Proxy::reset_open);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    refuse(false);
+    tokio::time::sleep(GAP).await;
+    fleet.store.remove("servers/i-1");
+    assert_eq!(late_runs(&fleet, 1).await, 0);
+}
+
+/// An entry that expires while the store is away is no departure: the upstream stays in use until it
+/// had time to register again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn outage_keeps_upstreams_whose_entries_expired() {
+    for mode in [Mode::Silent, Mode::Reset] {
+        let (fleet, proxies) = Fleet::start_with_proxies(&["a", "a", "b", "b"]).await;
+        let set_mode = |mode: Mode| proxies.iter().for_each(|proxy| *proxy.mode.lock() = mode);
+        tokio::time::sleep(SETTLED).await;
+        set_mode(mode);
+        if mode == Mode::Reset {
+            proxies.iter().for_each(Proxy::reset_open);
+        }
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        (0..3).for_each(|index| fleet.store.remove(&format!("servers/i-{index}")));
+        tokio::time::sleep(GAP).await;
+        set_mode(Mode::Pass);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(2) {
+            let response = fleet.get(3, "/get/1", "id-1").await;
+            assert_eq!(response.status, 200, "{mode:?} after {:?}", started.elapsed());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let runs = fleet.members[..3].iter().map(|member| member.upstream.runs());
+        assert!(runs.sum::<usize>() > 0, "{mode:?}");
+    }
+}
