Find a connection to the store that has gone silent within two seconds

Cause: a watch asked the store to wait for 25 s and was given up 1.5 s after that. A call whose response is lost, made in the last moments of a silent outage or on a connection that goes silent, holds its reader for the whole time, while it tells the others that it reads the store.

Evidence: reproduced with six real processes on the untouched code: a change just before 700 ms of silence makes all readers call again within it. Each reader then logged "no response within 26.5s" for both topics at the same moment, as in the users' record, and a change made 3 s after the silence was in force at each node after 23.2 s; the upstream that had left got requests for as long. The other hypotheses do not fit: peers could not have helped (all readers were held, and no node knew a newer revision), and readers changed neither before nor after.

After a late response the next call follows at once and not after a backoff of up to 1.5 s, which with the call's own time exceeded the 3 s after which nodes count as calm. The same on the way between nodes: a pull that is late on a kept connection closes the kept ones and is made once more on a new one.

--- a/crates/mesh/src/exchange.rs
+++ b/crates/mesh/src/exchange.rs
@@ -279,14 +279,24 @@
     }
 
     async fn fetch<T: DeserializeOwned>(&self, from: IpAddr, path: &str) -> Result<T, String> {
-        let deadline = self.now() + PULL_TIMEOUT;
-        let fetched = self.timer.timeout_at(deadline, self.fetch_body(from, path)).await;
+        let gate = SocketAddr::new(from, self.settings.peers.port());
+        let reuses = self.peer_pool.has_idle(gate);
+        let mut fetched = self.fetch_in_time(gate, path).await;
+        // The connections to that node may have gone silent, while new ones work.
+        if fetched.is_none() && reuses {
+            self.peer_pool.close_idle(gate);
+            fetched = self.fetch_in_time(gate, path).await;
+        }
         let body = fetched.unwrap_or_else(|| Err("late".to_owned()))?;
         postcard::from_bytes(&body).map_err(|error| error.to_string())
     }
 
-    async fn fetch_body(&self, from: IpAddr, path: &str) -> Result<Bytes, String> {
-        let gate = SocketAddr::new(from, self.settings.peers.port());
+    async fn fetch_in_time(&self, gate: SocketAddr, path: &str) -> Option<Result<Bytes, String>> {
+        let deadline = self.now() + PULL_TIMEOUT;
+        self.timer.timeout_at(deadline, self.fetch_body(gate, path)).await
+    }
+
+    async fn fetch_body(&self, gate: SocketAddr, path: &str) -> Result<Bytes, String> {
         let request = Request::get(path).header(http::header::HOST, gate.to_string());
         let request = request.body(Full::new(Bytes::new())).map_err(|error| error.to_string())?;
         let received = self.peer_pool.send(gate, request).await;
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -13,8 +13,9 @@
 use crate::node::Node;
 use crate::notice::vm_of;
 
-/// Longest time for which a watch call waits for changes.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// Longest time for which a watch call waits for changes. A connection that has gone silent is found
+/// when the response is overdue, early enough for a change to be in force in time.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay between calls to the store. Changes arrive in bursts; the delay lets one call return a
 /// whole burst.
 const BATCH_DELAY: Micros = 300 * MS;
@@ -242,7 +243,9 @@
     fn record_outage(&self, due: Micros, error: &StoreError) {
         let now = self.now();
         let since = match error {
-            StoreError::Unreachable(_) | StoreError::Refused(SERVER_ERROR..) => due.min(now),
+            StoreError::Unreachable(_)
+            | StoreError::Late(_)
+            | StoreError::Refused(SERVER_ERROR..) => due.min(now),
             // Until now the connection was sound, or parts of the response arrived.
             StoreError::Cut(_) | StoreError::Incomplete(_) => now,
             // The store has responded.
@@ -291,7 +294,9 @@
             follower.listed = false;
         }
         follower.reachable = false;
-        let backoff = follower.backoff;
+        // A late response has taken long enough, and the store may have returned meanwhile.
+        let late = matches!(error, StoreError::Late(_));
+        let backoff = if late { MIN_BACKOFF } else { follower.backoff };
         follower.backoff = (backoff * 2).min(MAX_BACKOFF);
         follower.lost = true;
         let mut state = self.lock();
@@ -312,6 +317,7 @@
         let result = match result {
             Ok(_) => "ok",
             Err(StoreError::Unreachable(_)) => "unreachable",
+            Err(StoreError::Late(_)) => "late",
             Err(StoreError::Cut(_)) => "cut",
             Err(StoreError::Refused(_)) => "refused",
             Err(StoreError::HistoryGone) => "history-gone",
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -223,6 +223,16 @@
         Some(list.remove(index))
     }
 
+    /// Returns whether there are idle connections to `addr`.
+    pub fn has_idle(&self, addr: SocketAddr) -> bool {
+        self.idle.lock().get(&addr).is_some_and(|list| !list.is_empty())
+    }
+
+    /// Closes the idle connections to `addr`, since one of them has gone silent.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.idle.lock().remove(&addr);
+    }
+
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, String> {
         let stream = timeout(self.connect_timeout, TcpStream::connect(addr)).await;
         let stream =
