Limit the response that bbv-node reads from the platform

An operator of a system like ours reports a faulty endpoint that sent bytes without end until the caller's memory was full.

Not mended: interim responses without end keep a connection of bbv-node busy until the call's deadline; none of their bytes are kept.

--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -4,8 +4,9 @@
 
 use bbv_core::documents::DocumentChange;
 use bbv_core::units::{MS, Micros, Revision};
-use eyre::{Result, WrapErr};
-use reqwest::Client;
+use bytes::BytesMut;
+use eyre::{Result, WrapErr, ensure};
+use reqwest::{Client, Response};
 use serde::{Deserialize, Serialize};
 
 use crate::ports::{Platform, Published};
@@ -39,6 +40,9 @@
 /// changes.
 const NETWORK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size from which a response is not read any further.
+const MAX_RESPONSE_BYTES: usize = 16 * 1_024 * 1_024;
+
 /// Creates the port to the platform at the URL `base`, such as `http://127.0.0.1:6000`.
 pub fn port(base: &str) -> Result<Platform> {
     let client = Client::builder()
@@ -54,8 +58,21 @@
     }))
 }
 
-async fn fetch(client: Client, url: String, wait: Micros) -> Result<Published, reqwest::Error> {
+async fn fetch(client: Client, url: String, wait: Micros) -> Result<Published> {
     let timeout = Duration::from_micros(wait) + NETWORK_TIMEOUT;
     let response = client.get(url).timeout(timeout).send().await?.error_for_status()?;
-    Ok(response.json::<WireChanges>().await?.into())
+    let body = read_body(response).await?;
+    Ok(serde_json::from_slice::<WireChanges>(&body)?.into())
+}
+
+async fn read_body(mut response: Response) -> Result<BytesMut> {
+    let mut body = BytesMut::new();
+    let announced = response.content_length().unwrap_or(0);
+    ensure!(announced <= MAX_RESPONSE_BYTES as u64, "response of {announced} bytes is too large");
+    while let Some(chunk) = response.chunk().await? {
+        let len = body.len() + chunk.len();
+        ensure!(len <= MAX_RESPONSE_BYTES, "response of {len} bytes or more is too large");
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
 }
