Refuse a request that is complete only late in the grace period

Callers saw, at an operator of a system like ours: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Cause, here: once a node has closed, it still reads requests that had begun to arrive, for as long as any other request keeps it running. Such a request was sent to another node's gate however little was left, and its connection ended with the process.

Change: from 0.4 s after the close on, a request whose deadline lies after the end of the grace period is refused with 503 and Retry-After before it is sent anywhere.

Evidence: request_that_is_complete_late_in_the_grace_period_is_refused, with two real processes, failed on the untouched code (the connection ended without a byte) and passes now.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -133,6 +133,9 @@
         // The server closes a connection on which a part of a body is left.
         let closes = has_body && call.is_err();
         let mut outcome = match call {
+            Ok(call) if self.may_cut_off(call.deadline) => {
+                CallOutcome::refused("stopping", DEFAULT_RETRY_AFTER)
+            }
             Ok(call) => {
                 guard.labels =
                     Some(RouteLabels { service: call.service.clone(), rank: call.route.rank });
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -9,7 +9,7 @@
 use bbv_core::admission::AdmissionDequeued;
 use bbv_core::body_budget::BodyBudget;
 use bbv_core::route::{CallerLimits, Name};
-use bbv_core::units::{Micros, Revision, SEC};
+use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_core::view::{Effect, Topic};
 use bbv_timer::Timer;
 use parking_lot::{Mutex, MutexGuard};
@@ -32,6 +32,9 @@
 /// Idle time after which a connection to an upstream without a `Keep-Alive` header is not reused.
 const UPSTREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after the close of callers' connections within which requests that were on their way arrive.
+const LATE_ARRIVAL: Micros = 400 * MS;
+
 /// Node beside one upstream.
 pub struct Node {
     pub(crate) settings: Settings,
@@ -49,10 +52,19 @@
     next_id: AtomicU64,
     stopping: AtomicBool,
     leaving: AtomicBool,
-    closing: AtomicBool,
+    /// Set when the node closes.
+    closed: OnceLock<Closed>,
     state: Mutex<State>,
 }
 
+/// Times of a node that has closed.
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    at: Micros,
+    /// Time by which its requests have to end.
+    end: Micros,
+}
+
 /// Counts a request of a caller or of another node as open until it ends or its sender disconnects.
 pub(crate) struct OpenRequest(Arc<Node>);
 
@@ -91,7 +103,7 @@
             next_id: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
+            closed: OnceLock::new(),
             state: Mutex::new(state),
             settings,
         })
@@ -142,12 +154,23 @@
 
     /// Returns whether the node refuses new requests and only finishes admitted ones.
     pub(crate) fn closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
+        self.closed.get().is_some()
     }
 
-    /// Refuses new requests.
-    pub(crate) fn close(&self) {
-        self.closing.store(true, Ordering::Relaxed);
+    /// Refuses new requests; the others have to end by `end`.
+    pub(crate) fn close(&self, end: Micros) {
+        let closed = Closed { at: self.now(), end };
+        // A node closes once.
+        let _ = self.closed.set(closed);
+    }
+
+    /// Returns whether a request of a caller that is complete only now may be cut off without a
+    /// response, since this node may end before `deadline`.
+    pub(crate) fn may_cut_off(&self, deadline: Micros) -> bool {
+        let now = self.now();
+        self.closed
+            .get()
+            .is_some_and(|closed| now > closed.at + LATE_ARRIVAL && deadline > closed.end)
     }
 
     /// Returns whether callers may send requests.
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -137,7 +137,7 @@
         node.timer.sleep_until(close_at.saturating_sub(LEAVE_NOTICE)).await;
         node.leave();
         node.timer.sleep_until(close_at).await;
-        node.close();
+        node.close(grace_end);
         // Fails only if all receivers are gone, which means that every listener has ended.
         let _ = self.close_sender.send(true);
         self.finish_requests(close_at, grace_end).await;
--- a/crates/mesh/tests/stop.rs
+++ b/crates/mesh/tests/stop.rs
@@ -2,10 +2,12 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use bbv_stand::caller;
-use bbv_stand::fleet::Fleet;
+use bbv_stand::fleet::{Fleet, wait_until};
+use bbv_stand::process::{Process, Signal};
 
 /// Time from the start of a stop to the close of callers' connections.
 const CLOSE_AFTER: Duration = Duration::from_millis(2_600);
@@ -14,6 +16,12 @@
 /// Time after the close at which the rest of half a request is sent.
 const REST_DELAY: Duration = Duration::from_millis(100);
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time from the start of a stop at which the rest of a late request is sent.
+const LATE: Duration = Duration::from_millis(4_500);
+/// Time that a request takes which keeps the process running until then.
+const LONG_RUN_TIME: Duration = Duration::from_millis(4_900);
+/// Time that the late request takes, longer than what is left of the grace period.
+const RUN_TIME: Duration = Duration::from_millis(1_500);
 
 fn connect(addr: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(addr).expect("connect to the node");
@@ -88,6 +96,58 @@
     assert!(TcpStream::connect(addr).is_err(), "the node still accepts connections");
 }
 
+/// Starts a process beside each upstream of a fleet without nodes, and waits until they are ready.
+async fn start_processes(fleet: &Fleet) -> Vec<Process> {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stop");
+    let program = Path::new(env!("CARGO_BIN_EXE_bbv-mesh"));
+    let start = |settings| Process::start(program, &folder, settings).expect("start a node");
+    let processes = fleet.members.iter().map(|member| start(&member.settings)).collect();
+    fleet.publish();
+    let started = Instant::now();
+    for index in 0..fleet.members.len() {
+        while fleet.get(index, "/get/1", "ready").await.status != 200 {
+            assert!(started.elapsed() < Duration::from_secs(10), "node {index} is not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    processes
+}
+
+/// A request that was complete only late in the grace period was sent on, and cut off without a response
+/// at its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_is_complete_late_in_the_grace_period_is_refused() {
+    let fleet = Fleet::without_nodes(&["z", "z"]).await;
+    let processes = start_processes(&fleet).await;
+    let set_delay = |delay| {
+        fleet.members.iter().for_each(|member| *member.upstream.delay.lock() = delay);
+    };
+    let (addr, before) = (fleet.callers(0), fleet.runs());
+    set_delay(LONG_RUN_TIME);
+    let text = caller::request("POST", "/post/1", "long", 6_000, "body");
+    let long = tokio::spawn(async move { caller::send(addr, &text).await.status });
+    wait_until("the long request runs", || fleet.runs() == before + 1).await;
+    set_delay(RUN_TIME);
+    processes[0].signal(Signal::Term).expect("send SIGTERM");
+    let started = Instant::now();
+    let answer = tokio::task::spawn_blocking(move || {
+        let text = request("late");
+        let mut stream = connect(addr);
+        std::thread::sleep(CLOSE_AFTER - MARGIN);
+        write(&mut stream, &text[..text.len() / 2]);
+        std::thread::sleep((started + LATE).saturating_duration_since(Instant::now()));
+        write(&mut stream, &text[text.len() / 2..]);
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("read the answer");
+        answer
+    });
+    let answer = answer.await.expect("caller panicked");
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert!(answer.to_lowercase().contains("\r\nretry-after: "), "{answer:?}");
+    assert_eq!(fleet.runs(), before + 1);
+    assert_eq!(long.await.expect("caller panicked"), 200);
+}
+
 /// A connection without a request is no reason to stay until the end of the grace period.
 #[tokio::test]
 async fn connection_that_is_never_used_does_not_delay_the_stop() {
