--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -20,9 +20,12 @@
 const MAX_SYNC_PEERS: usize = 4;
 const PULL_TIMEOUT: Micros = SEC;
 const READERS_PER_ZONE: usize = 2;
-const WATCH_TIMEOUT: Micros = 10 * SEC;
+/// Longest time for which a read waits for changes. A connection that has gone silent is found when the
+/// response is overdue, early enough for a change to be in force within 4 s.
+const WATCH_TIMEOUT: Micros = SEC;
 const MIN_BACKOFF: Micros = 200 * MS;
-const MAX_BACKOFF: Micros = 10 * SEC;
+/// Longest backoff, without jitter, after which the end of an outage is noticed.
+const MAX_BACKOFF: Micros = SEC;
 const MIN_READ_DELAY: Micros = SEC;
 const READER_CHECK_INTERVAL: Micros = SEC;
 
