--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -27,8 +27,9 @@
 
 /// Timeout for connecting to another node or to the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Idle time after which a connection to another node is not reused.
-const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Idle time after which a connection to another node is not reused. It may have gone silent, which no
+/// request shows before its deadline.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time after which a connection to an upstream without a `Keep-Alive` header is not reused.
 const UPSTREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
