Reuse no connection to an upstream that was idle for over two and a half seconds

The same as between nodes, on the way to upstreams: an upstream that keeps idle connections for long had its announced time used, so that requests went to connections that had been silent for seconds.

Change: the pool's own limit holds also where the other side announces a longer one.

Evidence: silent_connection_to_the_upstream_gets_no_request_of_a_calm_node failed on the untouched code (one 504 of eight requests) and passes now.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -27,11 +27,9 @@
 
 /// Timeout for connecting to another node or to the upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Idle time after which a connection to another node is not reused. It may have gone silent, which no
-/// request shows before its deadline.
-const PEER_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Idle time after which a connection to an upstream without a `Keep-Alive` header is not reused.
-const UPSTREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle time after which a connection to another node or to the upstream is not reused. It may have gone
+/// silent, which no request shows before its deadline.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time after the close of callers' connections within which requests that were on their way arrive.
 const LATE_ARRIVAL: Micros = 400 * MS;
@@ -88,14 +86,14 @@
         let timer = Timer::real();
         let state = State::new(timer.now(), &settings, SmallRng::from_os_rng());
         let bodies = Arc::new(Mutex::new(BodyBudget::new(settings.response_memory)));
-        let pool = |idle_timeout, added_fields| {
-            Pool::new(CONNECT_TIMEOUT, idle_timeout, added_fields, Arc::clone(&bodies))
+        let pool = |added_fields| {
+            Pool::new(CONNECT_TIMEOUT, IDLE_TIMEOUT, added_fields, Arc::clone(&bodies))
         };
         Arc::new(Node {
             timer,
             metrics: Metrics::new(),
-            peer_pool: pool(PEER_IDLE_TIMEOUT, head_limits::NODE_FIELDS),
-            upstream_pool: pool(UPSTREAM_IDLE_TIMEOUT, 0),
+            peer_pool: pool(head_limits::NODE_FIELDS),
+            upstream_pool: pool(0),
             check_turn: tokio::sync::Mutex::default(),
             request_bodies: Arc::new(Mutex::new(BodyBudget::new(settings.request_memory))),
             open_requests: AtomicU64::new(0),
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -289,14 +289,15 @@
     /// Returns a connection to the pool after its response was read completely, or closes it if it
     /// cannot hold more attempt ids.
     ///
-    /// `idle_timeout` is the time after which the other side closes it, if that is known.
+    /// `idle_timeout` is the time after which the other side closes it, if that is known. A longer one
+    /// than that of the pool has no effect: the connection may have gone silent.
     pub fn put(&self, mut conn: Connection, idle_timeout: Option<Duration>) {
         if !conn.reusable || conn.attempts.len() >= MAX_ATTEMPTS {
             return;
         }
         conn.idle_since = Instant::now();
         if let Some(timeout) = idle_timeout {
-            conn.idle_timeout = timeout;
+            conn.idle_timeout = timeout.min(self.idle_timeout);
         }
         let mut idle = self.idle.lock();
         let list = idle.entry(conn.addr).or_default();
--- a/crates/mesh/tests/silent_peers.rs
+++ b/crates/mesh/tests/silence.rs
@@ -1,10 +1,13 @@
-//! Connections between nodes that go silent for good, while new ones work.
+//! Connections between nodes and to upstreams that go silent for good, while new ones work.
 
 use std::time::Duration;
 
 use bbv_stand::fleet::{Fleet, config, wait_until};
 use bbv_stand::proxy::Proxy;
+use bbv_stand::upstream::Behaviour;
 
+/// Port of an upstream behind a proxy.
+const UPSTREAM_PORT: u16 = 21_006;
 /// Requests sent at once, each on a connection of its own.
 const REQUESTS: usize = 8;
 /// Time after the silence from which nodes count as calm.
@@ -68,3 +71,25 @@
     tokio::time::sleep(BOUND).await;
     assert_eq!(fleet.get(0, "/new/1", "id-new").await.status, 200);
 }
+
+/// Requests went to connections to the upstream that had been silent for seconds, since the upstream keeps
+/// them for long.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connection_to_the_upstream_gets_no_request_of_a_calm_node() {
+    let mut fleet = Fleet::with_upstream_port(&["z"], UPSTREAM_PORT).await;
+    let (published, upstream) = (fleet.members[0].settings.upstream, &fleet.members[0].upstream);
+    let (proxy, _) = Proxy::start(published, upstream.addr).await.expect("no proxy");
+    upstream.set_behaviour(Behaviour::KeepsAlive(60));
+    *upstream.delay.lock() = Duration::from_millis(50);
+    fleet.start_node(0).await;
+    fleet.publish();
+    let node = &fleet.members[0].running.as_ref().expect("node is running").node;
+    wait_until("the node is ready", || node.ready()).await;
+    for round in 0..3 {
+        assert_eq!(send_all(&fleet, &format!("before-{round}")).await, [200; REQUESTS]);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    proxy.silence_open();
+    tokio::time::sleep(STABLE).await;
+    assert_eq!(send_all(&fleet, "after").await, [200; REQUESTS]);
+}
