Let a node without a listed upstream pull or read each topic

Cause: other nodes do not know such a node, so that it pulls from them, and reads the store itself once it has had no successful pull for 1.5 s. That time did not count reads. A topic whose call to the store was waiting when the entry went was taken for isolated when it ended, and should have read; but the other topic, which pulled, kept the node from becoming a reader. So the first topic did neither until the entry was back. The call's wait of 25 s made it likely after any change before; now it takes a silent connection or a late call.

Change: the time since the last pull or read counts, and a node that is about to read a topic that it gets no changes of is not kept from it by the other topic.

Evidence: node_without_an_entry_follows_the_routing failed before (404 for a route 2 s after its acknowledgement, in one of eight fleets), and passes now.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -102,14 +102,17 @@
         self.reading
     }
 
-    /// Makes this node stop reading, as others do not hear from it.
+    /// Makes this node stop reading, as others do not hear from it. It still becomes a reader if it
+    /// was about to, since it may hear of one topic and not of the other.
     ///
     /// ```
-    /// bbv_core::readers::Readers::new(1, "z").stop();
+    /// let mut readers = bbv_core::readers::Readers::new(1, "z");
+    /// readers.start(0, &[]);
+    /// readers.stop();
+    /// assert!(readers.decide(0));
     /// ```
     pub fn stop(&mut self) {
         self.reading = false;
-        self.reads_at = None;
     }
 
     /// Decides whether this node is a reader from now on.
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -35,7 +35,7 @@
 const START_PULL_INTERVAL: Micros = 200 * MS;
 /// Interval of pulls of a node that other nodes do not know.
 const UNKNOWN_PULL_INTERVAL: Micros = 300 * MS;
-/// Time without a successful pull after which such a node may become a reader.
+/// Time without a successful pull or read after which such a node may become a reader.
 const ISOLATION_TIMEOUT: Micros = 1_500 * MS;
 
 /// Least status of a store that does not serve calls.
@@ -52,8 +52,8 @@
     lost: bool,
     /// Whether the last call was answered.
     reachable: bool,
-    /// Time of the last successful pull, or at which other nodes knew this one.
-    pulled_at: Micros,
+    /// Time of the last successful pull or read, or at which other nodes knew this one.
+    current_at: Micros,
 }
 
 fn log_faults(changes: &Changes) {
@@ -150,17 +150,17 @@
             listed: true,
             lost: false,
             reachable: false,
-            pulled_at: self.now(),
+            current_at: self.now(),
         };
         loop {
             let now = self.now();
             let unknown = self.is_unknown_to_peers();
-            if follower.listed && unknown && now < follower.pulled_at + ISOLATION_TIMEOUT {
+            if follower.listed && unknown && now < follower.current_at + ISOLATION_TIMEOUT {
                 self.pull_unknown(&mut follower).await;
                 continue;
             }
             if !unknown {
-                follower.pulled_at = now;
+                follower.current_at = now;
             }
             if follower.listed && !self.reads_next(topic, now) {
                 // The readers of the zone detect the end of an outage that began while this node
@@ -185,7 +185,7 @@
     async fn pull_unknown(&self, follower: &mut Follower) {
         self.lock().readers.stop();
         if self.pull_from_any(&[follower.topic]).await {
-            follower.pulled_at = self.now();
+            follower.current_at = self.now();
         }
         self.timer.sleep(UNKNOWN_PULL_INTERVAL).await;
     }
@@ -267,6 +267,7 @@
         }
         follower.backoff = MIN_BACKOFF;
         follower.reachable = true;
+        follower.current_at = self.now();
         if std::mem::replace(&mut follower.listed, true) {
             self.apply_changes(topic, after, changes.through, changes.changes);
         } else {
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -7,6 +7,7 @@
 use bbv_core::view::Topic;
 use bbv_stand::caller;
 use bbv_stand::fleet::{Fleet, config, wait_until};
+use bbv_stand::proxy::Proxy;
 use tokio::net::UdpSocket;
 
 /// Outage of the store in which entries of upstreams can expire.
@@ -348,3 +349,30 @@
     let after = [1, 3].map(|index: usize| fleet.members[index].upstream.runs());
     assert_eq!(before, after, "requests for removed upstreams");
 }
+
+/// Removes the entry of one upstream while connections to the store go silent, and checks that its node
+/// gets each routing that follows in time.
+async fn check_node_without_an_entry(removed: usize) {
+    let (fleet, proxies) = Fleet::start_with_proxies(&["z", "z"]).await;
+    // Each fleet is in another phase of its watches.
+    tokio::time::sleep(Duration::from_millis(800 + 250 * removed as u64)).await;
+    proxies.iter().for_each(Proxy::silence_open);
+    fleet.store.remove(&format!("servers/i-{}", removed % 2));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for version in 2..4 {
+        let name = format!("added-{version}");
+        fleet.store.put("op/config", &fleet.config_with(version, &name));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let response = fleet.get(removed % 2, &format!("/{name}/1"), "id-1").await;
+        assert_eq!(response.status, 200, "version {version} in fleet {removed}");
+    }
+}
+
+/// A node whose upstream's entry was removed while it waited for changes of the routing neither pulled nor
+/// read that any more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn node_without_an_entry_follows_the_routing() {
+    let mut checks = tokio::task::JoinSet::new();
+    (0..8).for_each(|removed| drop(checks.spawn(check_node_without_an_entry(removed))));
+    checks.join_all().await;
+}
