Wait for processes that do not listen yet in the test of late requests

It now asks until the node answers, as other tests do. The long request had 0.1 s to its route's timeout and has 0.4 s now, and the late one comes at 4.2 s and takes 1.8 s: still past the end of the process.

--- a/crates/mesh/tests/stop.rs
+++ b/crates/mesh/tests/stop.rs
@@ -17,11 +17,11 @@
 const REST_DELAY: Duration = Duration::from_millis(100);
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time from the start of a stop at which the rest of a late request is sent.
-const LATE: Duration = Duration::from_millis(4_500);
+const LATE: Duration = Duration::from_millis(4_200);
 /// Time that a request takes which keeps the process running until then.
-const LONG_RUN_TIME: Duration = Duration::from_millis(4_900);
+const LONG_RUN_TIME: Duration = Duration::from_millis(4_600);
 /// Time that the late request takes, longer than what is left of the grace period.
-const RUN_TIME: Duration = Duration::from_millis(1_500);
+const RUN_TIME: Duration = Duration::from_millis(1_800);
 
 fn connect(addr: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(addr).expect("connect to the node");
@@ -105,7 +105,9 @@
     fleet.publish();
     let started = Instant::now();
     for index in 0..fleet.members.len() {
-        while fleet.get(index, "/get/1", "ready").await.status != 200 {
+        // The process may not listen yet.
+        let text = caller::request("GET", "/get/1", "ready", 900, "");
+        while caller::try_send(fleet.callers(index), &text).await.status != 200 {
             assert!(started.elapsed() < Duration::from_secs(10), "node {index} is not ready");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
