Hand on the age of what is known of the fleet with every message

Callers saw, in our soak of 40 processes: requests to upstreams that had left, up to 5.4 s after publication, and 404 for an added route.

Now notices and replies carry the age of what is known, counted from a reader whose calls are answered. A reader counts as one only once both topics were answered since it began; a node that expects a reader and hears none waits once. Nodes whose entries went get heartbeats for 30 s. Requests and responses between nodes carry the revisions known, and the ingress names its address: on a machine that holds several nodes its connections come from another one, and it got no notices at all.

Faster take-over would cost calls while the store refuses all: the nodes of a zone now take turns, 250 ms apart on average whatever their number, and tell each other how long the store has not answered, so that an outage is known across turns.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`history`], [`index`], [`lag`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`freshness`], [`history`], [`index`], [`lag`], [`outage`], [`peer`], [`placement`], [`readers`],
 //!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
 //!   [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
@@ -24,6 +24,7 @@
 mod cold;
 pub mod documents;
 pub mod fleet;
+pub mod freshness;
 pub mod gate;
 pub mod history;
 pub mod id;
--- a/crates/core/src/outage.rs
+++ b/crates/core/src/outage.rs
@@ -13,13 +13,26 @@
 }
 
 impl Outage {
-    /// Records a failed call; the store may have been away from `since` on.
+    /// Records a failed call of this node or another of its zone; the store may have been away from
+    /// `since` on.
     ///
     /// ```
     /// bbv_core::outage::Outage::default().record_failure(7);
     /// ```
     pub fn record_failure(&mut self, since: Micros) {
-        self.since.get_or_insert(since);
+        self.since = Some(self.since.map_or(since, |known| known.min(since)));
+    }
+
+    /// Returns how long the store has not answered, or `None` if it has.
+    ///
+    /// ```
+    /// let mut outage = bbv_core::outage::Outage::default();
+    /// outage.record_failure(7);
+    /// outage.record_failure(5);
+    /// assert_eq!(outage.lasted(9), Some(4));
+    /// ```
+    pub fn lasted(&self, now: Micros) -> Option<Micros> {
+        self.since.map(|since| now.saturating_sub(since))
     }
 
     /// Records that the store answered at `now` a call that began at `asked`; returns whether this
@@ -39,7 +52,7 @@
         end >= since + shortest
     }
 
-    /// Forgets failed calls, since this node leaves outages to other readers.
+    /// Forgets failed calls, since another reader of the zone gets answers.
     ///
     /// ```
     /// let mut outage = bbv_core::outage::Outage::default();
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -19,8 +19,18 @@
     reading: bool,
     /// Time at which this node becomes a reader if there are too few until then.
     reads_at: Option<Micros>,
+    /// Time of this node's turn while others of the zone fail to read the platform.
+    turn_at: Option<Micros>,
+    /// Time of the latest failed call in the zone that is known.
+    failed_at: Option<Micros>,
+    /// Failed calls of this node in a row.
+    failures: u32,
+    /// Whether the other nodes are to be told of a failed call.
+    unannounced: bool,
     /// Target number of readers in the zone.
     target: usize,
+    /// Number of nodes in the zone.
+    size: usize,
 }
 
 /// Target number of readers in a zone.
@@ -35,6 +45,12 @@
 /// Longest additional delay before a node becomes a reader. It differs from node to node, so that
 /// not all become readers at the same time.
 const MAX_DELAY: Micros = 400 * MS;
+/// Mean interval between the turns of a zone's nodes while none of them can read the platform.
+const TURN_INTERVAL: Micros = 250 * MS;
+/// Failed calls in a row, of both topics, that end a turn.
+const MAX_FAILURES: u32 = 4;
+/// Time after a failed call of another node for which nodes take turns; longer than a call may last.
+const TURNS_TIMEOUT: Micros = 2_000 * MS;
 
 impl Readers {
     /// Creates the state of `node` in `zone`, which is not a reader yet.
@@ -50,7 +66,12 @@
             last_seen: BTreeMap::new(),
             reading: false,
             reads_at: None,
+            turn_at: None,
+            failed_at: None,
+            failures: 0,
+            unannounced: false,
             target: READERS_PER_ZONE,
+            size: 1,
         }
     }
 
@@ -60,6 +81,7 @@
     /// bbv_core::readers::Readers::new(1, "z").set_zone_size(60);
     /// ```
     pub fn set_zone_size(&mut self, nodes: usize) {
+        self.size = nodes.max(1);
         self.target = if nodes < LARGE_ZONE { READERS_PER_ZONE } else { 1 };
     }
 
@@ -93,6 +115,76 @@
         }
     }
 
+    /// Records that a call of another node of the zone to the platform has failed.
+    ///
+    /// ```
+    /// bbv_core::readers::Readers::new(1, "z").record_peer_failure(0, 2);
+    /// ```
+    pub fn record_peer_failure(&mut self, now: Micros, other: u64) {
+        self.last_seen.remove(&other);
+        self.failed_at = Some(now);
+    }
+
+    /// Records a failed call of this node. A reader that keeps failing ends its turn, so that other
+    /// nodes of the zone try; `share`, from 0 to 1, is random and spreads its next turn.
+    ///
+    /// ```
+    /// let mut readers = bbv_core::readers::Readers::new(1, "z");
+    /// readers.record_failure(0, 0.5);
+    /// assert!(readers.take_unannounced());
+    /// ```
+    pub fn record_failure(&mut self, now: Micros, share: f64) {
+        self.failures += 1;
+        self.failed_at = Some(now);
+        self.unannounced = true;
+        if self.reading && self.size > 1 && self.failures >= MAX_FAILURES {
+            self.reading = false;
+            self.turn_at = Some(now + self.turns(0.5 + share));
+        }
+    }
+
+    /// Records that a call of this node was answered.
+    ///
+    /// ```
+    /// bbv_core::readers::Readers::new(1, "z").record_answer();
+    /// ```
+    pub fn record_answer(&mut self) {
+        self.failures = 0;
+        self.failed_at = None;
+    }
+
+    /// Returns whether calls of the zone's nodes fail and none is known to be answered.
+    ///
+    /// ```
+    /// let mut readers = bbv_core::readers::Readers::new(1, "z");
+    /// assert!(!readers.is_failing(0));
+    /// readers.record_peer_failure(0, 2);
+    /// assert!(readers.is_failing(0));
+    /// ```
+    pub fn is_failing(&self, now: Micros) -> bool {
+        self.failed_at.is_some_and(|at| now < at + TURNS_TIMEOUT)
+    }
+
+    /// Returns whether another node of the zone is known to read the platform.
+    ///
+    /// ```
+    /// let mut readers = bbv_core::readers::Readers::new(1, "z");
+    /// readers.record_heartbeat(0, 2, true);
+    /// assert!(readers.hears_reader());
+    /// ```
+    pub fn hears_reader(&self) -> bool {
+        !self.last_seen.is_empty()
+    }
+
+    /// Returns whether a failed call of this node has not been announced yet, and records that it is.
+    ///
+    /// ```
+    /// assert!(!bbv_core::readers::Readers::new(1, "z").take_unannounced());
+    /// ```
+    pub fn take_unannounced(&mut self) -> bool {
+        std::mem::take(&mut self.unannounced)
+    }
+
     /// Returns whether this node is a reader.
     ///
     /// ```
@@ -131,25 +223,44 @@
             return self.reading;
         }
         if self.last_seen.len() >= self.target {
-            self.reads_at = None;
+            (self.reads_at, self.turn_at, self.failed_at) = (None, None, None);
             return false;
         }
-        let timeout = now + READER_TIMEOUT + self.delay();
-        let at = *self.reads_at.get_or_insert(timeout);
-        self.reading = now >= at;
+        self.reading = now >= self.next_start(now);
         if self.reading {
-            self.reads_at = None;
+            (self.reads_at, self.turn_at, self.failures) = (None, None, 0);
         }
         self.reading
     }
 
+    /// Returns when this node becomes a reader if there are too few until then.
+    fn next_start(&mut self, now: Micros) -> Micros {
+        if !self.is_failing(now) {
+            self.turn_at = None;
+            let start = now + self.delay();
+            return *self.reads_at.get_or_insert(start);
+        }
+        self.reads_at = None;
+        let turn = now + self.turns(self.rank());
+        *self.turn_at.get_or_insert(turn)
+    }
+
+    /// Returns `share` of the time in which each node of the zone has one turn.
+    fn turns(&self, share: f64) -> Micros {
+        (share * self.size as f64 * TURN_INTERVAL as f64) as Micros
+    }
+
     fn weight(&self, node: u64) -> (u64, u64) {
         (rendezvous::weight(&self.zone, node), node)
     }
 
+    /// Position of this node in the order of weights, from 0 for the highest to 1.
+    fn rank(&self) -> f64 {
+        1.0 - rendezvous::weight(&self.zone, self.node) as f64 / u64::MAX as f64
+    }
+
     /// Additional delay before this node becomes a reader; shorter for a higher weight.
     fn delay(&self) -> Micros {
-        let share = 1.0 - rendezvous::weight(&self.zone, self.node) as f64 / u64::MAX as f64;
-        (share * MAX_DELAY as f64) as Micros
+        (self.rank() * MAX_DELAY as f64) as Micros
     }
 }
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -35,6 +35,8 @@
     OutageEnded,
     /// Changes could not be fetched from another node or encoded for one.
     PullFailed,
+    /// The node began or ceased to read the store for its zone.
+    ReaderChanged,
     /// Settings were read again.
     Reloaded,
     /// The node started.
@@ -66,7 +68,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 27] = [
+pub const EVENTS: [Event; 28] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -78,8 +80,9 @@
     Event::MetricsFailed,
     Event::NoticeFailed,
     Event::ProbeFailed,
-    Event::PullFailed,
     Event::OutageEnded,
+    Event::PullFailed,
+    Event::ReaderChanged,
     Event::Reloaded,
     Event::Started,
     Event::Stopped,
--- a/crates/mesh/src/exchange.rs
+++ b/crates/mesh/src/exchange.rs
@@ -42,6 +42,8 @@
 struct UpstreamsReply {
     /// Revision up to which `content` is complete.
     through: Revision,
+    /// Age of the sender's knowledge.
+    age: Option<Micros>,
     /// Remaining time for which upstreams whose entries expired during an outage are kept.
     keep: Micros,
     /// Upstreams that are kept since their entries expired, each with the time left.
@@ -63,6 +65,8 @@
 struct ControlReply {
     /// Revision up to which this node knows the routing and zones.
     revision: Revision,
+    /// Age of the sender's knowledge.
+    age: Option<Micros>,
     /// Revision up to which it knows zones.
     zones_through: Revision,
     /// Zones out of service.
@@ -155,7 +159,11 @@
             Topic::Control => &mut state.control,
         };
         knowledge.newer_peers.retain(|_, revision| *revision > through);
-        let peer = knowledge.newer_peers.keys().copied().choose(rng);
+        // Traffic between zones costs more.
+        let zone = |ip: &IpAddr| state.index.zone(*ip).map(|zone| &**zone);
+        let near = knowledge.newer_peers.keys().filter(|ip| zone(ip) == Some(&self.settings.zone));
+        let peer = near.copied().choose(rng);
+        let peer = peer.or_else(|| knowledge.newer_peers.keys().copied().choose(rng));
         match peer {
             Some(peer) => drop(knowledge.newer_peers.remove(&peer)),
             None => knowledge.pulling = false,
@@ -166,6 +174,7 @@
     async fn pull_upstreams(&self, from: IpAddr) -> Result<(), String> {
         let since = self.revision(Topic::Upstreams);
         let path = format!("{UPSTREAMS_PATH}?since={since}");
+        let asked = self.now();
         let reply: UpstreamsReply = self.fetch(from, &path).await?;
         let now = self.now();
         {
@@ -173,7 +182,13 @@
             state.view.extend_grace(now, reply.keep);
             state.upstreams.confirmed = true;
         }
+        let (through, age) = (reply.through, reply.age);
         let effects = self.apply_upstreams(now, since, reply);
+        let mut state = self.lock();
+        if state.view.through >= through {
+            state.upstreams.freshness.confirm(asked, age);
+        }
+        drop(state);
         self.view_changed("peer", Topic::Upstreams, &effects);
         Ok(())
     }
@@ -209,8 +224,9 @@
             };
             let PageRequest { have, base, version, offset } = request;
             let query = format!("have={have}&base={base}&version={version}&offset={offset}");
+            let asked = self.now();
             let reply: ControlReply = self.fetch(from, &format!("{CONTROL_PATH}?{query}")).await?;
-            match self.apply_control(reply) {
+            match self.apply_control(asked, reply) {
                 PullStep::Done => return Ok(()),
                 PullStep::Next => {}
                 PullStep::Stuck => return Err("page of another transfer".to_owned()),
@@ -219,7 +235,8 @@
         Err(format!("more than {MAX_PAGES} pages"))
     }
 
-    fn apply_control(&self, reply: ControlReply) -> PullStep {
+    /// Applies the reply of a peer that was asked at `asked`.
+    fn apply_control(&self, asked: Micros, reply: ControlReply) -> PullStep {
         let now = self.now();
         let (effects, step) = {
             let mut state = self.lock();
@@ -242,6 +259,9 @@
             }
             let done = state.view.control >= reply.revision;
             state.control.confirmed |= done;
+            if done {
+                state.control.freshness.confirm(asked, reply.age);
+            }
             let step = match (done, added) {
                 (true, _) => PullStep::Done,
                 (false, true) => PullStep::Next,
@@ -336,6 +356,7 @@
             };
             UpstreamsReply {
                 through: state.view.through,
+                age: state.age(now, Topic::Upstreams),
                 keep: state.view.grace_left(now),
                 kept: state.view.kept(now),
                 content,
@@ -352,6 +373,7 @@
             return response::local(StatusCode::NOT_FOUND, "not-a-peer-request");
         };
         let request = PageRequest { have, base, version, offset: offset as usize };
+        let now = self.now();
         let reply = {
             let mut state = self.lock();
             if !state.control.confirmed {
@@ -364,6 +386,7 @@
             }
             ControlReply {
                 revision: state.view.control,
+                age: state.age(now, Topic::Control),
                 zones_through: state.view.zones_through,
                 out: state.view.out.clone(),
                 page,
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bbv_core::freshness::FRESH_TIME;
 use bbv_core::units::{MS, Micros, Revision};
 use bbv_core::view::{Topic, Update};
 use bbv_platform::store::{Changes, Freshness, StoreClient, StoreError};
 use rand::Rng;
 
 use crate::event::{self, Event};
+use crate::knowledge::StoreCall;
 use crate::node::Node;
 use crate::notice::vm_of;
 
@@ -33,10 +35,12 @@
 const REGISTRATION_PATIENCE: Micros = 3_000 * MS;
 /// Interval of pulls of a starting node until a peer confirms its view.
 const START_PULL_INTERVAL: Micros = 200 * MS;
-/// Interval of pulls of a node that other nodes do not know.
-const UNKNOWN_PULL_INTERVAL: Micros = 300 * MS;
-/// Time without a successful pull or read after which such a node may become a reader.
-const ISOLATION_TIMEOUT: Micros = 1_500 * MS;
+/// Interval at which a node that other nodes do not know checks what it knows, and pulls if that is not
+/// fresh.
+const UNKNOWN_CHECK_INTERVAL: Micros = 200 * MS;
+/// Age from which such a node reads the store itself. Together with a read it is less than the time in
+/// which a change has to be in force.
+const MAX_UNKNOWN_AGE: Micros = 1_200 * MS;
 
 /// Least status of a store that does not serve calls.
 const SERVER_ERROR: u16 = 500;
@@ -52,8 +56,6 @@
     lost: bool,
     /// Whether the last call was answered.
     reachable: bool,
-    /// Time of the last successful pull or read, or at which other nodes knew this one.
-    current_at: Micros,
 }
 
 fn log_faults(changes: &Changes) {
@@ -150,44 +152,55 @@
             listed: true,
             lost: false,
             reachable: false,
-            current_at: self.now(),
         };
         loop {
             let now = self.now();
             let unknown = self.is_unknown_to_peers();
-            if follower.listed && unknown && now < follower.current_at + ISOLATION_TIMEOUT {
-                self.pull_unknown(&mut follower).await;
+            if follower.listed && unknown && !self.is_older(topic, now, MAX_UNKNOWN_AGE) {
+                self.follow_unknown(topic, now).await;
                 continue;
             }
-            if !unknown {
-                follower.current_at = now;
-            }
-            if follower.listed && !self.reads_next(topic, now) {
-                // The readers of the zone detect the end of an outage that began while this node
-                // was a reader.
-                follower.lost = false;
-                follower.reachable = false;
-                let confirmed = {
-                    let mut state = self.lock();
-                    state.outage.clear();
-                    state.is_confirmed()
-                };
-                let interval =
-                    if confirmed { READER_CHECK_INTERVAL } else { CONFIRM_CHECK_INTERVAL };
-                self.timer.sleep(interval).await;
+            if follower.listed && !unknown && !self.reads_next(topic, now) {
+                self.wait_as_follower(&mut follower).await;
                 continue;
             }
             self.read_next(&mut follower).await;
         }
     }
 
-    /// Pulls changes, as a node that gets no heartbeats.
-    async fn pull_unknown(&self, follower: &mut Follower) {
-        self.lock().readers.stop();
-        if self.pull_from_any(&[follower.topic]).await {
-            follower.current_at = self.now();
+    /// Returns whether what this node knows of `topic` is older than `limit`, counted from its source.
+    fn is_older(&self, topic: Topic, now: Micros, limit: Micros) -> bool {
+        self.lock().knowledge(topic).freshness.is_older(now, limit)
+    }
+
+    /// Pulls changes if what is known is not fresh, as a node that other nodes do not know.
+    async fn follow_unknown(&self, topic: Topic, now: Micros) {
+        {
+            let mut state = self.lock();
+            state.readers.stop();
+            state.knowledge(topic).call = StoreCall::None;
         }
-        self.timer.sleep(UNKNOWN_PULL_INTERVAL).await;
+        if self.is_older(topic, now, FRESH_TIME) {
+            self.pull_from_any(&[topic]).await;
+        }
+        self.timer.sleep(UNKNOWN_CHECK_INTERVAL).await;
+    }
+
+    /// Waits for a while in which other nodes read the store.
+    async fn wait_as_follower(&self, follower: &mut Follower) {
+        follower.lost = false;
+        follower.reachable = false;
+        let confirmed = {
+            let mut state = self.lock();
+            state.knowledge(follower.topic).call = StoreCall::None;
+            // A reader that gets answers detects the end of an outage that began before.
+            if state.readers.hears_reader() {
+                state.outage.clear();
+            }
+            state.is_confirmed()
+        };
+        let interval = if confirmed { READER_CHECK_INTERVAL } else { CONFIRM_CHECK_INTERVAL };
+        self.timer.sleep(interval).await;
     }
 
     /// Reads the next changes of a topic from the store and applies them.
@@ -209,7 +222,7 @@
         }
         match result {
             Ok(changes) => {
-                self.apply_read(follower, after, changes);
+                self.apply_read(follower, after, changes, asked);
                 self.timer.sleep(BATCH_DELAY).await;
             }
             Err(StoreError::HistoryGone) => {
@@ -232,6 +245,7 @@
     fn record_answer(&self, asked: Micros) {
         let now = self.now();
         let mut state = self.lock();
+        state.readers.record_answer();
         if state.outage.record_answer(now, asked, self.settings.heartbeat) {
             state.view.platform_recovered(now);
             event::info(Event::OutageEnded, &[("revision", &state.view.through)]);
@@ -252,12 +266,21 @@
             StoreError::Refused(_) | StoreError::Malformed(_) | StoreError::HistoryGone => return,
         };
         let mut state = self.lock();
+        let state = &mut *state;
         if state.readers.is_reading() {
             state.outage.record_failure(since);
+            state.readers.record_failure(now, state.rng.random());
         }
     }
 
-    fn apply_read(&self, follower: &mut Follower, after: Revision, changes: Changes) {
+    /// Applies what the store answered to a call that began at `asked`.
+    fn apply_read(
+        &self,
+        follower: &mut Follower,
+        after: Revision,
+        changes: Changes,
+        asked: Micros,
+    ) {
         let topic = follower.topic;
         log_faults(&changes);
         if std::mem::take(&mut follower.lost) {
@@ -267,7 +290,6 @@
         }
         follower.backoff = MIN_BACKOFF;
         follower.reachable = true;
-        follower.current_at = self.now();
         if std::mem::replace(&mut follower.listed, true) {
             self.apply_changes(topic, after, changes.through, changes.changes);
         } else {
@@ -275,7 +297,8 @@
         }
         let mut state = self.lock();
         let through = state.view.revision(topic);
-        state.knowledge(topic).confirm(through);
+        let now = self.now();
+        state.knowledge(topic).confirm(now, asked, through);
     }
 
     /// Records a failed call; returns the delay before the next one.
@@ -301,7 +324,7 @@
         follower.backoff = (backoff * 2).min(MAX_BACKOFF);
         follower.lost = true;
         let mut state = self.lock();
-        state.knowledge(topic).store_failed = true;
+        state.knowledge(topic).call = StoreCall::Failed;
         backoff / 2 + state.rng.random_range(0..=backoff)
     }
 
@@ -309,9 +332,19 @@
     /// its peers know changes that it could not get from them.
     fn reads_next(&self, topic: Topic, now: Micros) -> bool {
         let mut state = self.lock();
+        let was = state.readers.is_reading();
         let reader = state.readers.decide(now);
         let through = state.view.revision(topic);
-        reader || state.knowledge(topic).lag.is_overdue(now, through)
+        let reads = reader || state.knowledge(topic).lag.is_overdue(now, through);
+        let age = |topic| state.age(now, topic).map_or(-1, |age| (age / MS) as i64);
+        let ages = Topic::ALL.map(age);
+        drop(state);
+        if was != reader {
+            let values: [(&str, &dyn std::fmt::Display); 3] =
+                [("reads", &reader), ("upstreams_age_ms", &ages[0]), ("control_age_ms", &ages[1])];
+            event::info(Event::ReaderChanged, &values);
+        }
+        reads
     }
 
     fn count_store_call(&self, result: &Result<Changes, StoreError>) {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -102,22 +102,21 @@
             ("speed_pct", &report.speed_pct),
             ("cold", &report.cold),
             ("report_age_us", &report_age),
-            ("revision", &reply.revision),
+            ("revision", &reply.known.upstreams),
         ],
     );
 }
 
 impl Node {
-    /// Runs a request of the ingress at `from` on the upstream beside this node, or refuses it.
+    /// Runs a request of an ingress on the upstream beside this node, or refuses it.
     pub(crate) async fn run_locally(
         self: &Arc<Self>,
-        from: IpAddr,
         metadata: GateRequest,
         head: Parts,
         body: Bytes,
     ) -> GateResult {
         let arrived = self.now();
-        self.lock().recent_ingresses.insert(from, arrived);
+        self.lock().recent_ingresses.insert(metadata.ingress, arrived);
         let id = head.headers.get(header::ATTEMPT_ID).cloned();
         let completion = self.admit_and_run(&metadata, head, body, arrived).await;
         self.conclude(id.as_ref(), &metadata, completion, arrived)
@@ -134,7 +133,7 @@
         self.metrics.admitted.with_label_values(&[completion.outcome.name()]).inc();
         let now = self.now();
         let state = self.lock();
-        let (report, revision) = (state.load_report(now), state.view.through);
+        let (report, known) = (state.load_report(now), state.known());
         let report_age = now.saturating_sub(state.local.reported_at);
         drop(state);
         let reply = GateReply {
@@ -144,7 +143,7 @@
             call_refused: completion.call_refused,
             elapsed: now - arrived,
             report,
-            revision,
+            known,
         };
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
         log_outcome(id, metadata, &reply, &completion.cause, report_age);
@@ -340,6 +339,7 @@
             return self.serve_changes(&head);
         };
         let arrived = self.now();
+        self.learn_known(metadata.ingress, metadata.known);
         let max_bytes = self.lock().max_body_bytes();
         let body = match body::collect(body, max_bytes, &self.request_bodies).await {
             Ok(body) => body,
@@ -357,6 +357,6 @@
         };
         head.headers.remove(CONTENT_LENGTH);
         response::strip_hop_headers(&mut head.headers);
-        self.run_locally(from, metadata, head, body).await.into_response()
+        self.run_locally(metadata, head, body).await.into_response()
     }
 }
--- a/crates/mesh/src/knowledge.rs
+++ b/crates/mesh/src/knowledge.rs
@@ -3,16 +3,31 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+use bbv_core::freshness::Freshness;
 use bbv_core::lag::Lag;
 use bbv_core::units::{Micros, Revision};
 
+/// Latest call to the store of a node that reads it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum StoreCall {
+    /// None since this node began to read.
+    #[default]
+    None,
+    /// It was answered.
+    Answered,
+    /// It failed.
+    Failed,
+}
+
 /// State of one topic besides its content.
 pub(crate) struct Knowledge {
     /// Whether the store or a peer has confirmed the content since the start; a listing alone may be
     /// seconds old and name upstreams that have left.
     pub confirmed: bool,
-    /// Whether the last call to the store failed.
-    pub store_failed: bool,
+    /// Latest call to the store while this node reads it.
+    pub call: StoreCall,
+    /// Age of the content, as told by other nodes or found at the store.
+    pub freshness: Freshness,
     /// Whether changes are being fetched from a peer.
     pub pulling: bool,
     /// Peers that announced a newer revision.
@@ -27,7 +42,8 @@
     pub fn new(lag_delay: Micros) -> Self {
         Knowledge {
             confirmed: false,
-            store_failed: true,
+            call: StoreCall::None,
+            freshness: Freshness::default(),
             pulling: false,
             newer_peers: BTreeMap::new(),
             lag: Lag::new(lag_delay),
@@ -51,10 +67,17 @@
         !std::mem::replace(&mut self.pulling, true)
     }
 
-    /// Records that the store, which can be reached, has confirmed the content up to `through`.
-    pub fn confirm(&mut self, through: Revision) {
-        self.store_failed = false;
+    /// Records that the store, called at `asked`, has confirmed the content up to `through`.
+    pub fn confirm(&mut self, now: Micros, asked: Micros, through: Revision) {
+        self.call = StoreCall::Answered;
         self.confirmed = true;
+        self.freshness.confirm(now, Some(now.saturating_sub(asked)));
         self.lag.record_read(through);
     }
+
+    /// Returns the age of the content that this node hands on. A reader whose latest call was answered
+    /// has the next one open, which the store answers when something changes.
+    pub fn age(&self, now: Micros, reads: bool) -> Option<Micros> {
+        if reads && self.call == StoreCall::Answered { Some(0) } else { self.freshness.age(now) }
+    }
 }
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -4,6 +4,7 @@
 //! Values are positional: their order is the wire format.
 
 use std::fmt::Display;
+use std::net::IpAddr;
 use std::str::FromStr;
 
 use bbv_core::admission::RefusalReason;
@@ -16,9 +17,22 @@
 /// Header field of a response from a gate.
 const REPLY_FIELD: HeaderName = HeaderName::from_static("bbv-reply");
 
+/// Revisions that a node knows, which each message between nodes carries.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Known {
+    /// Revision of upstreams.
+    pub upstreams: Revision,
+    /// Revision of the routing and of zones.
+    pub control: Revision,
+}
+
 /// Metadata of a request from an ingress to a gate.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GateRequest {
+    /// Address at which other nodes reach the ingress; its connections may come from another one.
+    pub ingress: IpAddr,
+    /// What the ingress knows.
+    pub known: Known,
     /// Instance of the upstream that the request is meant for.
     pub instance: String,
     /// Time remaining until the deadline.
@@ -69,8 +83,8 @@
     pub elapsed: Micros,
     /// Load of the upstream behind the gate.
     pub report: LoadReport,
-    /// Latest fleet revision that the gate has applied.
-    pub revision: Revision,
+    /// What the gate knows.
+    pub known: Known,
 }
 
 const REFUSAL_REASONS: [RefusalReason; 5] = [
@@ -131,6 +145,10 @@
         Some(self.next::<Micros>()?.min(MAX_TIME))
     }
 
+    fn next_known(&mut self) -> Option<Known> {
+        Some(Known { upstreams: self.next()?, control: self.next()? })
+    }
+
     fn next_flag(&mut self) -> Option<bool> {
         Some(self.next::<u8>()? != 0)
     }
@@ -148,6 +166,9 @@
     pub fn write(&self, headers: &mut HeaderMap) {
         let accept_slow = u8::from(self.accept_slow);
         let value = join(&[
+            &self.ingress,
+            &self.known.upstreams,
+            &self.known.control,
             &self.timeout,
             &self.target,
             &self.rank,
@@ -169,6 +190,8 @@
     fn read(headers: &HeaderMap) -> Option<Self> {
         let mut values = FieldValues::from_headers(headers, &REQUEST_FIELD)?;
         Some(GateRequest {
+            ingress: values.next()?,
+            known: values.next_known()?,
             timeout: values.next_time()?,
             target: values.next_time()?,
             rank: values.next()?,
@@ -200,7 +223,8 @@
             &report.backlog,
             &closed,
             &cold,
-            &self.revision,
+            &self.known.upstreams,
+            &self.known.control,
         ]);
         headers.insert(REPLY_FIELD, value);
     }
@@ -232,7 +256,7 @@
                 cold: values.next_flag()?,
             }
             .clamped(),
-            revision: values.next()?,
+            known: values.next_known()?,
         })
     }
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -39,6 +39,10 @@
     pub revision: IntGauge,
     /// Latest known revision of the routing and of zones.
     pub control_revision: IntGauge,
+    /// Age of what is known of upstreams, in seconds.
+    pub upstreams_age: Gauge,
+    /// Age of what is known of the routing and of zones, in seconds.
+    pub control_age: Gauge,
     /// Requests running on the upstream.
     pub running: IntGauge,
     /// Requests queued for the upstream.
@@ -151,6 +155,8 @@
             running: gauge("bbv_running", "Requests running on the upstream."),
             queued: gauge("bbv_queued", "Requests queued for the upstream."),
             cold: gauge("bbv_cold", "Whether the upstream is cold."),
+            upstreams_age: seconds("bbv_upstreams_age_seconds", "Age of the known upstreams."),
+            control_age: seconds("bbv_control_age_seconds", "Age of the known routing and zones."),
             report_age: seconds("bbv_report_age_seconds", "Age of the upstream's load report."),
             registry,
         }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -184,9 +184,7 @@
 
     /// Returns whether this node watches the store and the store responds.
     pub fn reads_store(&self) -> bool {
-        let state = self.lock();
-        let failed = state.upstreams.store_failed || state.control.store_failed;
-        state.readers.is_reading() && !failed
+        self.lock().reads_store()
     }
 
     /// Logs changes of the view and applies them to the state that depends on it.
@@ -207,7 +205,7 @@
                 [("source", &source), ("revision", &revision), ("change", &change)];
             event::info(Event::ViewChanged, &values);
         }
-        state.apply_view(&self.settings);
+        state.apply_view(self.now(), &self.settings);
         drop(state);
         self.poll_admission();
     }
@@ -245,6 +243,10 @@
         metrics.routing_age.set(seconds(state.routed_at));
         metrics.revision.set(state.view.through as i64);
         metrics.control_revision.set(state.view.control as i64);
+        let age =
+            |topic| state.age(now, topic).map_or(f64::INFINITY, |age| age as f64 / SEC as f64);
+        metrics.upstreams_age.set(age(Topic::Upstreams));
+        metrics.control_age.set(age(Topic::Control));
         metrics.limit.set(i64::from(state.admission.limit(now)));
         metrics.running.set(i64::from(state.admission.running()));
         metrics.queued.set(i64::from(state.admission.queued()));
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -14,7 +14,9 @@
 use tokio::net::UdpSocket;
 
 use crate::event::{self, Event};
+use crate::message::Known;
 use crate::node::{Node, RECENT_INGRESS_TTL};
+use crate::state::State;
 
 /// Interval at which queued requests and due notices are checked.
 const TICK_INTERVAL: Micros = 10 * MS;
@@ -50,6 +52,12 @@
     closed: bool,
     cold: bool,
     crash: Option<Crash>,
+    /// Age of what the node knows of upstreams.
+    upstreams_age: Option<Micros>,
+    /// Age of what it knows of the routing and of zones.
+    control_age: Option<Micros>,
+    /// How long the store has not answered the node's zone, if the node's own calls fail.
+    failing: Option<Micros>,
 }
 
 impl From<&Notice> for LoadReport {
@@ -117,14 +125,14 @@
 impl Node {
     fn build_notice(&self, crash: Option<Crash>) -> Notice {
         let now = self.now();
-        let reads = self.reads_store();
         let state = self.lock();
+        let failing = state.has_failed_calls().then(|| state.outage.lasted(now)).flatten();
         let report = state.load_report(now);
         let instance = state.local.instance.as_deref().unwrap_or_default().to_owned();
         Notice {
             instance,
             stopping: self.leaving(),
-            reads,
+            reads: state.reads_store(),
             revision: state.view.through,
             control: state.view.control,
             running: report.running,
@@ -136,6 +144,9 @@
             closed: report.closed,
             cold: report.cold,
             crash,
+            upstreams_age: state.age(now, Topic::Upstreams),
+            control_age: state.age(now, Topic::Control),
+            failing,
         }
     }
 
@@ -194,7 +205,8 @@
     }
 
     /// Announces a new revision to a few nodes, so that it reaches all of them in a few hops and they
-    /// pull from different nodes. A reader also sends heartbeats to the whole zone.
+    /// pull from different nodes. A reader also sends heartbeats to the whole zone, and tells it of
+    /// failed calls.
     fn announce_revisions(
         &self,
         socket: &UdpSocket,
@@ -213,11 +225,21 @@
             }
             self.send_to(socket, &peers, None);
         }
-        if self.reads_store() && reader_notices.take_due(now, UrgentState::default(), HEARTBEAT) {
-            self.send_to(socket, &self.zone_peers(), None);
+        let failed = self.lock().readers.take_unannounced();
+        let due =
+            self.reads_store() && reader_notices.take_due(now, UrgentState::default(), HEARTBEAT);
+        if failed || due {
+            self.send_to(socket, &self.heartbeat_peers(), None);
         }
     }
 
+    /// Returns the other nodes of this zone, with those whose upstreams are no longer listed.
+    fn heartbeat_peers(&self) -> Vec<IpAddr> {
+        let mut peers = self.zone_peers();
+        peers.extend(self.lock().unlisted.keys());
+        peers
+    }
+
     /// Returns the other nodes of this zone.
     pub(crate) fn zone_peers(&self) -> Vec<IpAddr> {
         let state = self.lock();
@@ -292,7 +314,7 @@
 
     fn apply_notice(self: &Arc<Self>, from: IpAddr, notice: &Notice) {
         let now = self.now();
-        let behind = {
+        {
             let mut state = self.lock();
             let peer = state.peers.entry(from).or_default();
             peer.record_message();
@@ -300,8 +322,7 @@
             // A notice shows that the peer is alive, so connections to it are retried at once.
             let returned = std::mem::take(&mut peer.connect_failures) > 0;
             if state.is_in_zone(from, &self.settings.zone) {
-                let reads = notice.reads && !notice.stopping;
-                state.readers.record_heartbeat(now, u64::from(vm_of(from).0), reads);
+                state.apply_zone_notice(now, u64::from(vm_of(from).0), notice);
             }
             if let Some(stats) = state.upstream_stats.get_mut(notice.instance.as_str()) {
                 stats.record_report(now, LoadReport::from(notice));
@@ -312,15 +333,20 @@
             if let Some(crash) = notice.crash {
                 state.suspects.record_crash(now, crash);
             }
-            let state = &mut *state;
-            // A reader knows what the store knows, and this node knows no less.
-            let (through, control) = (state.view.through, state.view.control);
-            state.upstreams.confirmed |= notice.reads && notice.revision <= through && through > 0;
-            state.control.confirmed |=
-                notice.reads && notice.control <= control && state.view.routing.is_some();
+            state.confirm_known(now, notice);
+        }
+        let known = Known { upstreams: notice.revision, control: notice.control };
+        self.pull_newer(from, known);
+    }
+
+    /// Pulls changes from the node at `from`, which knows `known`, if this node lacks them.
+    fn pull_newer(self: &Arc<Self>, from: IpAddr, known: Known) {
+        let behind = {
+            let mut state = self.lock();
+            let (now, own) = (self.now(), state.known());
             [
-                state.upstreams.announce(now, from, notice.revision, through),
-                state.control.announce(now, from, notice.control, control),
+                state.upstreams.announce(now, from, known.upstreams, own.upstreams),
+                state.control.announce(now, from, known.control, own.control),
             ]
         };
         for (topic, behind) in Topic::ALL.into_iter().zip(behind) {
@@ -330,4 +356,50 @@
             }
         }
     }
+
+    /// Applies what the node at `from` knows, as told with a request or response. Nodes of other
+    /// zones are not asked for changes at once, since traffic between zones costs more.
+    pub(crate) fn learn_known(self: &Arc<Self>, from: IpAddr, known: Known) {
+        let in_zone = {
+            let mut state = self.lock();
+            let own = state.known();
+            if known.upstreams <= own.upstreams && known.control <= own.control {
+                return;
+            }
+            let now = self.now();
+            state.upstreams.lag.announce(now, known.upstreams, own.upstreams);
+            state.control.lag.announce(now, known.control, own.control);
+            state.is_in_zone(from, &self.settings.zone)
+        };
+        if in_zone {
+            self.pull_newer(from, known);
+        }
+    }
+}
+
+impl State {
+    /// Applies what `notice` of node `other` of this zone tells of calls to the store.
+    fn apply_zone_notice(&mut self, now: Micros, other: u64, notice: &Notice) {
+        self.readers.record_heartbeat(now, other, notice.reads && !notice.stopping);
+        if let Some(lasted) = notice.failing
+            && !self.reads_store()
+        {
+            self.readers.record_peer_failure(now, other);
+            self.outage.record_failure(now.saturating_sub(lasted));
+        }
+    }
+
+    /// Confirms what this node knows by what `notice` tells, if its sender knows no more.
+    fn confirm_known(&mut self, now: Micros, notice: &Notice) {
+        let own = self.known();
+        if notice.revision <= own.upstreams {
+            self.upstreams.freshness.confirm(now, notice.upstreams_age);
+            // A reader knows what the store knows.
+            self.upstreams.confirmed |= notice.reads && own.upstreams > 0;
+        }
+        if notice.control <= own.control {
+            self.control.freshness.confirm(now, notice.control_age);
+            self.control.confirmed |= notice.reads && self.view.routing.is_some();
+        }
+    }
 }
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -239,9 +239,8 @@
         let expected = metadata.service_time;
         let sending = async {
             if local {
-                let own = self.settings.peers.ip();
                 let (head, body) = (call.head.clone(), call.body.clone());
-                return SendResult::Replied(self.run_locally(own, metadata, head, body).await);
+                return SendResult::Replied(self.run_locally(metadata, head, body).await);
             }
             self.send_to_peer(self.gate_addr(choice.addr), &metadata, call).await
         };
@@ -282,6 +281,8 @@
         let service_time = state.profile(&call.route).service_time as Micros;
         let target = if call.nested { call.deadline } else { call.arrived + call.route.target };
         GateRequest {
+            ingress: self.settings.peers.ip(),
+            known: state.known(),
             instance: choice.instance.to_string(),
             timeout: call.deadline.saturating_sub(now + one_way),
             target: target.saturating_sub(now + one_way),
@@ -324,7 +325,7 @@
 
     /// Updates load, round-trip time, service time and failures after a send.
     fn record_result(
-        &self,
+        self: &Arc<Self>,
         call: &Call,
         choice: &Choice,
         sent_at: Micros,
@@ -332,9 +333,12 @@
         result: &SendResult,
     ) {
         let now = self.now();
+        let ip = choice.addr.ip();
+        if let SendResult::Replied(result) = result {
+            self.learn_known(ip, result.reply.known);
+        }
         let mut state = self.lock();
         let state = &mut *state;
-        let ip = choice.addr.ip();
         let stats = state.upstream_stats.entry(choice.instance.clone()).or_default();
         let reply = match result {
             SendResult::Replied(result) => result.reply,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -27,7 +27,8 @@
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
-use crate::knowledge::Knowledge;
+use crate::knowledge::{Knowledge, StoreCall};
+use crate::message::Known;
 use crate::notice::vm_of;
 use crate::settings::Settings;
 
@@ -44,6 +45,9 @@
 /// [`MAX_BACKOFF_DOUBLINGS`] times.
 const UNREACHABLE_BACKOFF: Micros = 500 * MS;
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// Time for which a node gets heartbeats after the entry of its upstream was removed. The upstream serves
+/// on for a while, and its node still takes requests of callers.
+const UNLISTED_TTL: Micros = 30 * SEC;
 
 /// Exponential moving averages of the requests of one route.
 #[derive(Clone, Copy, Debug)]
@@ -123,6 +127,9 @@
     pub peers: HashMap<IpAddr, Peer>,
     /// Ingresses that recently sent requests, with the time of the last one.
     pub recent_ingresses: HashMap<IpAddr, Micros>,
+    /// VMs of this zone whose upstreams are no longer listed, each with the time until which it gets
+    /// heartbeats.
+    pub unlisted: BTreeMap<IpAddr, Micros>,
     /// The upstream beside this node.
     pub local: LocalUpstream,
     /// Recent changes of upstreams, for peers with an older revision.
@@ -163,6 +170,7 @@
             suspects: Suspects::default(),
             peers: HashMap::new(),
             recent_ingresses: HashMap::new(),
+            unlisted: BTreeMap::new(),
             local: LocalUpstream::default(),
             history: History::default(),
             routings: RecentRoutings::default(),
@@ -217,6 +225,31 @@
         }
     }
 
+    /// Returns whether this node watches the store and the store responds.
+    pub fn reads_store(&self) -> bool {
+        let calls = [self.upstreams.call, self.control.call];
+        self.readers.is_reading() && calls.iter().all(|call| *call == StoreCall::Answered)
+    }
+
+    /// Returns whether the latest call of this node to the store failed.
+    pub fn has_failed_calls(&self) -> bool {
+        [self.upstreams.call, self.control.call].contains(&StoreCall::Failed)
+    }
+
+    /// Returns the age of what this node knows of `topic`; `None` if it was never confirmed.
+    pub fn age(&self, now: Micros, topic: Topic) -> Option<Micros> {
+        let knowledge = match topic {
+            Topic::Upstreams => &self.upstreams,
+            Topic::Control => &self.control,
+        };
+        knowledge.age(now, self.readers.is_reading())
+    }
+
+    /// Returns the revisions that this node knows.
+    pub fn known(&self) -> Known {
+        Known { upstreams: self.view.through, control: self.view.control }
+    }
+
     /// Returns whether the store or peers have confirmed the whole view.
     pub fn is_confirmed(&self) -> bool {
         self.upstreams.confirmed && self.control.confirmed
@@ -240,9 +273,21 @@
         self.view.routing.as_ref().map_or(usize::MAX, |routing| routing.limits.body)
     }
 
+    /// Replaces the index by that of the view, and notes the VMs of this zone that it lacks.
+    fn replace_index(&mut self, now: Micros, settings: &Settings) {
+        let index = Index::new(&self.view);
+        let was = std::mem::replace(&mut self.index, index);
+        let zone = settings.zone.as_str();
+        let gone = was.vms().filter(|(ip, vm_zone)| {
+            &***vm_zone == zone && self.index.zone(*ip).is_none() && *ip != settings.peers.ip()
+        });
+        self.unlisted.extend(gone.map(|(ip, _)| (ip, now + UNLISTED_TTL)));
+        self.unlisted.retain(|ip, until| now < *until && self.index.zone(*ip).is_none());
+    }
+
     /// Applies the view to admission and removes statistics of upstreams that are gone.
-    pub fn apply_view(&mut self, settings: &Settings) {
-        self.index = Index::new(&self.view);
+    pub fn apply_view(&mut self, now: Micros, settings: &Settings) {
+        self.replace_index(now, settings);
         let zone = settings.zone.as_str();
         let nodes = self.index.vms().filter(|(_, vm_zone)| &***vm_zone == zone).count();
         self.readers.set_zone_size(nodes);
--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -236,7 +236,8 @@
         Topic::Upstreams => [wrong, known],
         Topic::Control => [known, wrong],
     };
-    [&[0, 0, 0][..], &revisions.concat(), &[0, 0, 9, 100, 0, 0, 0, 0, 0]].concat()
+    let no_ages = [0, 0, 0];
+    [&[0, 0, 0][..], &revisions.concat(), &[0, 0, 9, 100, 0, 0, 0, 0, 0], &no_ages].concat()
 }
 
 /// Returns the sum of the metrics of member `index` whose lines start with `name`.
--- a/crates/mesh/tests/malformed.rs
+++ b/crates/mesh/tests/malformed.rs
@@ -58,10 +58,11 @@
     let peers = fleet.members[0].settings.peers;
     let max = u64::MAX;
     let fields = [
-        format!("{max},{max},255,{max},1,{max},i-0"),
-        format!("{max},0,0,{max},0,0,i-0"),
+        format!("255.255.255.255,{max},{max},{max},{max},255,{max},1,{max},i-0"),
+        format!("::,0,0,{max},0,0,{max},0,0,i-0"),
         "1,2,3".to_owned(),
-        "-1,-1,-1,-1,-1,-1,i-0".to_owned(),
+        format!("{max},{max},255,{max},1,{max},i-0"),
+        "127.0.0.1,-1,-1,-1,-1,-1,-1,-1,-1,i-0".to_owned(),
         String::new(),
     ];
     for field in fields {
