--- a/crates/mesh/tests/store_calls.rs
+++ b/crates/mesh/tests/store_calls.rs
@@ -81,3 +81,28 @@
         assert!(runs.sum::<usize>() > 0, "{mode:?}");
     }
 }
+
+/// The nodes of a zone take turns while the store refuses all; the one that ends the outage has not
+/// seen its beginning, and must not take expired entries for departures.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn outage_read_by_nodes_in_turn_keeps_upstreams_whose_entries_expired() {
+    let fleet = Fleet::start(&["z"; 14]).await;
+    let refuse = |refuse: bool| {
+        let listeners = fleet.members.iter().map(|member| &member.listener);
+        listeners.for_each(|listener| listener.refuse.store(refuse, Ordering::Relaxed));
+    };
+    tokio::time::sleep(SETTLED).await;
+    refuse(true);
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    (0..13).for_each(|index| fleet.store.remove(&format!("servers/i-{index}")));
+    refuse(false);
+    let before: usize = fleet.members[..13].iter().map(|member| member.upstream.runs()).sum();
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(2) {
+        let response = fleet.get(13, "/get/1", "id-1").await;
+        assert_eq!(response.status, 200, "after {:?}", started.elapsed());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let after: usize = fleet.members[..13].iter().map(|member| member.upstream.runs()).sum();
+    assert!(after > before, "upstreams whose entries expired got no requests");
+}
--- a/crates/soak/src/bursts.rs
+++ b/crates/soak/src/bursts.rs
@@ -27,6 +27,12 @@
     Cut(Option<usize>),
     /// Silences the open connections to the store.
     Silence,
+    /// Publishes a version of the routing that is invalid and has a route of its own.
+    PublishInvalid,
+    /// The store is silent for all nodes from now on, or answers again.
+    Darken(bool),
+    /// Connections from other zones into the last one are silent from now on, or no longer are.
+    CutZone(bool),
     /// Watches hear nothing from now on, or as before.
     Mute(bool),
     /// The store forgets its history and cuts all watches, which hear of changes again.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -45,6 +45,10 @@
     pub store_proxy: Proxy,
     /// Proxy in front of the upstream.
     pub upstream_proxy: Proxy,
+    /// Proxies in front of the node and of the nodes of other zones, if its zone is behind such.
+    pub peer_proxies: Vec<Proxy>,
+    /// Whether the store is silent for all nodes.
+    pub dark: Arc<AtomicBool>,
     /// Whether the process was stopped or killed and has not been restarted yet.
     pub stopping: bool,
     /// Whether the process is paused.
@@ -62,11 +66,12 @@
 impl Node {
     /// Records whether faults disturb the node at present.
     pub fn record_disturbed(&self) {
+        let proxies = [&self.store_proxy, &self.upstream_proxy].into_iter();
         let harmed =
-            [&self.store_proxy, &self.upstream_proxy].map(|proxy| *proxy.mode.lock() != Mode::Pass);
-        let refused = [&self.refused, &self.muted].map(|it| it.load(Ordering::Relaxed));
-        let disturbed = [[self.paused, self.stopping], refused, harmed].concat();
-        self.disturbances.set(disturbed.contains(&true));
+            proxies.chain(&self.peer_proxies).any(|proxy| *proxy.mode.lock() != Mode::Pass);
+        let refused = [&self.refused, &self.muted, &self.dark];
+        let refused = refused.iter().any(|it| it.load(Ordering::Relaxed));
+        self.disturbances.set(self.paused || self.stopping || refused || harmed);
     }
 
     /// Silences the open connections to the store, which counts as a reset of the node's connections.
--- a/crates/soak/src/force.rs
+++ b/crates/soak/src/force.rs
@@ -12,8 +12,11 @@
 use crate::calm::Disturbances;
 use crate::checker::Checker;
 use crate::history::{History, Mark, Version};
+use crate::served::Served;
 use crate::versions::status_of;
 
+/// Route that every version has.
+const FIRST_ROUTE: &str = "get";
 /// Pause between two checks of a node.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -35,6 +38,8 @@
     pub rng: SmallRng,
     /// Newest version that was found not to be in force in time, or 0.
     pub reported: u64,
+    /// Requests on added and on first routes.
+    pub served: Served,
 }
 
 impl ForceMonitor {
@@ -48,14 +53,17 @@
                 self.check(mark, &due, now).await;
             }
         }
+        self.served.violation(&self.name).into_iter().for_each(|it| self.checker.add_violation(it));
     }
 
     /// Draws a route that the version that is due has and the older one lacks, or the reverse.
     fn draw(&mut self, due: &Version, older: &Version) -> Mark {
         let (fewer, more) = (due.routes.min(older.routes), due.routes.max(older.routes));
-        match self.rng.random_range(0..3) {
-            0 => Mark::Since(due.number),
-            1 => Mark::Only(older.number),
+        let invalid = self.history.invalid();
+        match (self.rng.random_range(0..3 + usize::from(invalid.is_some())), invalid) {
+            (0, _) => Mark::Since(due.number),
+            (1, _) => Mark::Only(older.number),
+            (3, Some(number)) => Mark::Invalid(number),
             _ if fewer == more => Mark::Added(fewer.saturating_sub(1)),
             _ => Mark::Added(self.rng.random_range(fewer..more)),
         }
@@ -75,6 +83,10 @@
         self.checker.count_conclusive(found || missing);
         let all_have = allowed.iter().all(|version| version.has(mark));
         let none_has = !allowed.iter().any(|version| version.has(mark));
+        if all_have && matches!(mark, Mark::Since(_) | Mark::Added(_)) {
+            let first = status_of(self.node, FIRST_ROUTE).await;
+            self.served.record(found, first == 200);
+        }
         let violated = (missing && all_have) || (found && none_has);
         if violated && self.reported < due.number {
             self.reported = due.number;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,5 +1,6 @@
 //! Versions of the routing that a run has published, and which routes each of them has.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 use bbv_stand::fleet::{Fleet, route};
@@ -21,6 +22,8 @@
     Since(u64),
     /// In versions that add more routes than this number.
     Added(usize),
+    /// Only in the invalid version with this number.
+    Invalid(u64),
 }
 
 impl Mark {
@@ -29,6 +32,7 @@
         match self {
             Mark::Only(version) => version_route(version),
             Mark::Since(version) => format!("since-{version}"),
+            Mark::Invalid(version) => format!("invalid-{version}"),
             Mark::Added(number) => format!("added-route-with-a-name-of-usual-length-{number:05}"),
         }
     }
@@ -52,6 +56,7 @@
             Mark::Only(version) => self.number == version,
             Mark::Since(version) => self.number >= version,
             Mark::Added(number) => number < self.routes,
+            Mark::Invalid(_) => false,
         }
     }
 }
@@ -60,6 +65,8 @@
 #[derive(Debug, Default)]
 pub struct History {
     versions: Mutex<Vec<Version>>,
+    /// Number of the newest invalid version, or 0.
+    invalid: AtomicU64,
 }
 
 impl History {
@@ -89,6 +96,24 @@
         self.acknowledge(Instant::now());
     }
 
+    /// Publishes version `number`, in which a route has no service, beside a valid one of its own.
+    pub fn publish_invalid(&self, fleet: &Fleet, number: u64) {
+        let mark = Mark::Invalid(number).name();
+        let mut config = fleet.config_with(number, &mark);
+        if let Some(resources) = config["resources"].as_array_mut() {
+            let mut broken = route("broken", "idempotent", "s", 5.0);
+            broken["spec"]["service"] = Value::Null;
+            resources.push(broken);
+        }
+        self.invalid.store(number, Ordering::SeqCst);
+        fleet.store.put("op/config", &config);
+    }
+
+    /// Returns the number of the newest invalid version, if one was published.
+    pub fn invalid(&self) -> Option<u64> {
+        Some(self.invalid.load(Ordering::SeqCst)).filter(|number| *number > 0)
+    }
+
     /// Adds version `number`, which may be in force from now on.
     pub fn begin(&self, number: u64, routes: usize) {
         self.versions.lock().push(Version { number, routes, acked: None });
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bbv_stand::fleet::Fleet;
+use bbv_stand::proxy::Mode;
 use eyre::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -18,6 +19,7 @@
 use crate::growth;
 use crate::history::History;
 use crate::leaving::Absence;
+use crate::outages;
 use crate::run::RunOptions;
 use crate::store_faults;
 
@@ -36,6 +38,10 @@
 /// XORed with the seed of a run to seed these series.
 const GROWTH_SEED_MASK: u64 = 0x960;
 
+/// Factor of the pauses between other faults in a run with silent outages alone, which even seeds have.
+const OUTAGE_PAUSES: u32 = 10;
+/// XORed with the seed of a run to seed the silent outages.
+const OUTAGE_SEED_MASK: u64 = 0xda_2c;
 /// Probability that a fault of the store starts along with a fault.
 const STORE_PROBABILITY: f64 = 0.3;
 /// XORed with the seed of a run to seed the faults of the store.
@@ -60,6 +66,8 @@
     next_series: Duration,
     /// Time from which the next fault of the store may start.
     next_store: Duration,
+    /// Time from which the next silent outage may start.
+    next_outage: Duration,
     /// Steps of bursts to come, the latest first.
     steps: Vec<Step>,
 }
@@ -88,6 +96,7 @@
             absences: Vec::new(),
             next_series: Duration::ZERO,
             next_store: Duration::ZERO,
+            next_outage: Duration::ZERO,
             steps: Vec::new(),
         })
     }
@@ -100,8 +109,12 @@
         let mut burst_rng = SmallRng::seed_from_u64(options.seed ^ BURST_SEED_MASK);
         let mut growth_rng = SmallRng::seed_from_u64(options.seed ^ GROWTH_SEED_MASK);
         let mut store_rng = SmallRng::seed_from_u64(options.seed ^ STORE_SEED_MASK);
+        let mut outage_rng = SmallRng::seed_from_u64(options.seed ^ OUTAGE_SEED_MASK);
+        // Faults that reset connections to the store hide calls that an outage has silenced.
+        let only_outages = options.site && options.seed.is_multiple_of(2);
+        let pauses = if only_outages { OUTAGE_PAUSES } else { 1 };
         while self.started.elapsed() < options.duration {
-            self.wait(Duration::from_millis(rng.random_range(20..400))).await?;
+            self.wait(Duration::from_millis(rng.random_range(20..400)) * pauses).await?;
             faults::restart_ended(self.nodes)?;
             let index = rng.random_range(0..self.nodes.len());
             self.inject(index, Fault::draw(&mut rng))?;
@@ -116,14 +129,19 @@
             if growth_rng.random_bool(GROWTH_PROBABILITY) && options.routes > 0 {
                 self.add_series(&mut growth_rng, options.routes);
             }
-            if store_rng.random_bool(STORE_PROBABILITY) {
+            if !only_outages && store_rng.random_bool(STORE_PROBABILITY) {
                 self.add_store_fault(&mut store_rng);
             }
+            if options.site {
+                self.add_outage(&mut outage_rng, options.routes);
+            }
             if rng.random_bool(0.1) {
                 self.publish(rng.random_range(1..4), None)?;
             }
         }
         self.mute(false);
+        self.darken(false);
+        self.cut_zone(false);
         for node in 0..self.nodes.len() {
             self.end_absence(node)?;
         }
@@ -152,6 +170,16 @@
         }
     }
 
+    /// Adds a silent outage beside versions that add routes if the last one is long enough ago.
+    fn add_outage(&mut self, rng: &mut SmallRng, routes: usize) {
+        let now = self.started.elapsed();
+        if now >= self.next_outage {
+            self.next_outage = now + outages::MIN_PAUSE;
+            self.steps.extend(outages::draw(rng, routes, now));
+            self.steps.sort_by_key(|step| Reverse(step.at));
+        }
+    }
+
     /// Waits for `pause`, and takes the steps of bursts that are due meanwhile.
     async fn wait(&mut self, pause: Duration) -> Result<()> {
         let end = self.started.elapsed() + pause;
@@ -168,9 +196,13 @@
                 Action::Leave(node) => self.begin_absence(node, "draining")?,
                 Action::Remove(node) => self.begin_absence(node, "removed")?,
                 Action::Return(node) => self.end_absence(node)?,
-                Action::Cut(_) | Action::Silence | Action::Mute(_) | Action::Forget => {
-                    self.disturb_store(step.action)?;
-                }
+                Action::PublishInvalid => self.publish_invalid()?,
+                Action::Cut(_)
+                | Action::Silence
+                | Action::Mute(_)
+                | Action::Forget
+                | Action::Darken(_)
+                | Action::CutZone(_) => self.disturb_links(step.action)?,
             }
         }
         tokio::time::sleep_until((self.started + end).into()).await;
@@ -218,8 +250,8 @@
         Ok(())
     }
 
-    /// Injects a fault of the store or of the connections to it.
-    fn disturb_store(&mut self, action: Action) -> Result<()> {
+    /// Injects a fault of the store, of the connections to it, or of those between zones.
+    fn disturb_links(&mut self, action: Action) -> Result<()> {
         let ms = self.started.elapsed().as_millis();
         writeln!(self.log, "at_ms={ms} store={action:?}")?;
         self.count += 1;
@@ -227,6 +259,8 @@
             Action::Cut(Some(node)) => self.nodes[node].store_proxy.reset_open(),
             Action::Silence => self.nodes.iter().for_each(Node::silence_store),
             Action::Mute(muted) => self.mute(muted),
+            Action::Darken(dark) => self.darken(dark),
+            Action::CutZone(cut) => self.cut_zone(cut),
             Action::Forget => {
                 self.fleet.store.drop_history();
                 self.nodes.iter().for_each(|node| node.store_proxy.reset_open());
@@ -237,6 +271,35 @@
         Ok(())
     }
 
+    /// Makes the store silent for all nodes or ends that.
+    fn darken(&self, dark: bool) {
+        for node in self.nodes.iter() {
+            node.dark.store(dark, Ordering::Relaxed);
+            let mut mode = node.store_proxy.mode.lock();
+            *mode = if dark { Mode::Silent } else { Mode::Pass };
+            drop(mode);
+            node.record_disturbed();
+        }
+    }
+
+    /// Silences the connections from other zones into the last one, or ends that.
+    fn cut_zone(&self, cut: bool) {
+        for node in self.nodes.iter().filter(|node| !node.peer_proxies.is_empty()) {
+            let mode = if cut { Mode::Silent } else { Mode::Pass };
+            node.peer_proxies.iter().for_each(|proxy| *proxy.mode.lock() = mode);
+            node.record_disturbed();
+        }
+    }
+
+    /// Publishes an invalid version of the routing, newer than all others.
+    fn publish_invalid(&mut self) -> Result<()> {
+        let version = self.newest.load(Ordering::SeqCst) + 1;
+        let ms = self.started.elapsed().as_millis();
+        writeln!(self.log, "at_ms={ms} invalid={version}")?;
+        self.history.publish_invalid(self.fleet, version);
+        Ok(())
+    }
+
     fn mute(&self, muted: bool) {
         self.fleet.store.muted.store(muted, Ordering::Relaxed);
         self.nodes.iter().for_each(Node::record_disturbed);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,7 +13,7 @@
 bbv-soak: runs bbv-mesh nodes under seeded faults and checks their guarantees from outside
 
 usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--routes N]
-    [--folder PATH]
+    [--zones N] [--site] [--folder PATH]
 
 exit codes: 0 all guarantees held, 1 one was violated or a run failed, 2 bad usage
 ";
@@ -27,6 +27,8 @@
     options.optopt("", "seconds", "time with faults of each run", "N");
     options.optopt("", "nodes", "number of nodes of each run", "N");
     options.optopt("", "routes", "largest number of routes that configurations add", "N");
+    options.optopt("", "zones", "number of zones, up to 5", "N");
+    options.optflag("", "site", "links like a deployment's, and outages of the whole store");
     options.optopt("", "folder", "folder for settings and logs", "PATH");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
@@ -65,6 +67,8 @@
             seed,
             nodes: number(matches, "nodes", 4)? as usize,
             routes: number(matches, "routes", MAX_ROUTES as u64)? as usize,
+            zones: number(matches, "zones", 2)? as usize,
+            site: matches.opt_present("site"),
             duration: Duration::from_secs(number(matches, "seconds", 12)?),
             program: PathBuf::from(&program),
             folder: PathBuf::from(&folder).join(seed.to_string()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs a fleet with callers under faults drawn from a seed, and reports which guarantees were
 //! violated.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
 use crate::injector::Injector;
 use crate::leaving::{Absence, late_requests};
 use crate::limits;
+use crate::served::Served;
 use crate::versions::{VersionMonitor, status_of, version_route};
 
 /// Options of a run.
@@ -41,6 +43,10 @@
     /// Largest number of routes that configurations add; two nodes stay calm, and one of them is
     /// behind a slow link, unless it is 0.
     pub routes: usize,
+    /// Number of zones.
+    pub zones: usize,
+    /// Whether the fleet has links like those of a deployment, and outages of the whole store come.
+    pub site: bool,
     /// Path of the `bbv-mesh` program.
     pub program: PathBuf,
     /// Folder for settings and logs.
@@ -90,6 +96,14 @@
 /// Port of the upstreams; a proxy listens on the published port.
 const UPSTREAM_PORT: u16 = 21_006;
 const CALLERS_PER_NODE: usize = 5;
+/// Callers of each node in a fleet of a deployment's size.
+const SITE_CALLERS: usize = 2;
+/// Names of the zones.
+const ZONES: [&str; 5] = ["a", "b", "c", "d", "e"];
+/// Rates of the links of a deployment's nodes, in megabits per second, given to nodes in turn.
+const LINKS_MBPS: &[f64] = &[200.0, 50.0, 100.0, 10.0, 200.0];
+/// Delay between zones of a deployment, one way.
+const ZONE_DELAY: Duration = Duration::from_micros(3_400);
 /// XORed with the seed of a run and the number of a caller to seed the caller.
 const CALLER_SEED_MASK: u64 = 0xca11_0000;
 /// Time within which a fleet without faults serves requests and has complete state again.
@@ -103,12 +117,17 @@
 
 /// Runs a fleet under faults and checks the guarantees.
 pub async fn run(options: &RunOptions) -> Result<Report> {
-    let zones: Vec<&str> =
-        (0..options.nodes).map(|index| if index % 2 == 0 { "a" } else { "b" }).collect();
+    let zones: Vec<&str> = (0..options.nodes)
+        .map(|index| ZONES[index % options.zones.clamp(1, ZONES.len())])
+        .collect();
     let mut fleet = Fleet::with_upstream_port(&zones, UPSTREAM_PORT).await;
     let slow = options.seed as usize % options.nodes;
     let mut calm = Vec::new();
-    if options.routes > 0 {
+    let mut links = BTreeMap::new();
+    if options.site {
+        links = fleet.put_behind_links(zones[options.zones - 1], LINKS_MBPS, ZONE_DELAY).await;
+        calm = vec![slow, (slow + 1) % options.nodes];
+    } else if options.routes > 0 {
         fleet.slow_down(slow, SLOW_MBPS).await;
         calm = vec![slow, (slow + 1) % options.nodes];
     }
@@ -116,12 +135,12 @@
     let history = Arc::new(History::default());
     history.begin(1, 0);
     history.acknowledge(Instant::now());
-    let mut nodes = start_nodes(options, &fleet).await?;
+    let mut nodes = start_nodes(options, &fleet, links).await?;
     wait_until_served(&fleet).await?;
     let checker = Arc::new(Checker::default());
     let stop = Arc::new(AtomicBool::new(false));
     let newest = Arc::new(AtomicU64::new(1));
-    let mut tasks = start_callers(&fleet, options.seed, &checker, &stop);
+    let mut tasks = start_callers(&fleet, options, &checker, &stop);
     tasks.extend(start_monitors(&fleet, &nodes, &checker, &newest, &stop));
     tasks.extend(start_force_monitors(&fleet, options.seed, &nodes, &history, &checker, &stop));
     let injector = Injector::new(options, &fleet, &mut nodes, &newest, &history, &calm)?;
@@ -153,9 +172,14 @@
     })
 }
 
-async fn start_nodes(options: &RunOptions, fleet: &Fleet) -> Result<Vec<Node>> {
+/// Starts the nodes; `links` holds the proxies between nodes, by number of the node behind them.
+async fn start_nodes(
+    options: &RunOptions,
+    fleet: &Fleet,
+    mut links: BTreeMap<usize, Vec<Proxy>>,
+) -> Result<Vec<Node>> {
     let mut nodes = Vec::new();
-    for member in &fleet.members {
+    for (index, member) in fleet.members.iter().enumerate() {
         let mut settings = member.settings.clone();
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let (store_proxy, addr) = Proxy::start(any_port, settings.platform).await?;
@@ -167,6 +191,8 @@
             process,
             store_proxy,
             upstream_proxy,
+            peer_proxies: links.remove(&index).unwrap_or_default(),
+            dark: Arc::default(),
             stopping: false,
             paused: false,
             generation: Arc::default(),
@@ -190,15 +216,17 @@
 
 fn start_callers(
     fleet: &Fleet,
-    seed: u64,
+    options: &RunOptions,
     checker: &Arc<Checker>,
     stop: &Arc<AtomicBool>,
 ) -> Vec<tokio::task::JoinHandle<()>> {
     let next = Arc::new(AtomicU64::new(0));
     let mut callers = Vec::new();
     for node in 0..fleet.members.len() {
-        for number in 0..CALLERS_PER_NODE {
-            let caller_seed = seed ^ CALLER_SEED_MASK ^ (node * CALLERS_PER_NODE + number) as u64;
+        let first = if options.site { CALLERS_PER_NODE - SITE_CALLERS } else { 0 };
+        for number in first..CALLERS_PER_NODE {
+            let caller_seed =
+                options.seed ^ CALLER_SEED_MASK ^ (node * CALLERS_PER_NODE + number) as u64;
             let caller = Caller {
                 addr: fleet.callers(node),
                 node,
@@ -254,6 +282,7 @@
             stop: Arc::clone(stop),
             rng: SmallRng::seed_from_u64(seed ^ MONITOR_SEED_MASK ^ index as u64),
             reported: 0,
+            served: Served::default(),
         };
         tokio::spawn(monitor.run())
     };
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -15,7 +15,9 @@
 use bbv_soak::growth;
 use bbv_soak::history::{History, MAX_ROUTES, Mark};
 use bbv_soak::leaving::{Absence, late_requests};
+use bbv_soak::outages;
 use bbv_soak::request;
+use bbv_soak::served::Served;
 use bbv_soak::store_faults;
 use bbv_soak::versions::{VersionMonitor, version_route};
 use bbv_stand::fleet::Fleet;
@@ -227,6 +229,7 @@
         stop: Arc::clone(&stop),
         rng: SmallRng::seed_from_u64(1),
         reported: 0,
+        served: Served::default(),
     };
     let task = tokio::spawn(monitor.run());
     tokio::time::sleep(Duration::from_millis(400)).await;
@@ -252,6 +255,99 @@
     }
 }
 
+/// A node that takes an invalid version serves a route that no valid one has.
+#[tokio::test]
+async fn invalid_version_is_detected() {
+    for (serves, count) in [(None, 0), (Some(3), 0), (Some(4), 1)] {
+        let found = site_violations(serves, "200 OK").await;
+        assert_eq!(found.len(), count, "serves the invalid version {serves:?}: {found:?}");
+    }
+}
+
+/// A node that knows an added route but ends its requests in another way than 404 does not serve it.
+#[tokio::test]
+async fn added_route_that_is_not_served_is_detected() {
+    assert!(site_violations(None, "200 OK").await.is_empty());
+    let found = site_violations(None, "502 Bad Gateway").await;
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].contains("requests on added routes"), "{found:?}");
+}
+
+/// Returns the violations at a node that answers added routes with `status` and serves the route of the
+/// invalid version `invalid`, if any; version 4 is the one that was published.
+async fn site_violations(invalid: Option<u64>, status: &'static str) -> Vec<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("could not bind a port");
+    let node = listener.local_addr().expect("could not get the local address");
+    let served = invalid.map(|number| format!("GET /{}/1 ", Mark::Invalid(number).name()));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut bytes = [0_u8; 1_024];
+            let len = stream.read(&mut bytes).await.expect("could not read the request");
+            let text = String::from_utf8_lossy(&bytes[..len]).into_owned();
+            let starts = |name: &str| text.starts_with(&format!("GET /{name}/1 "));
+            let first = starts("get") || served.as_ref().is_some_and(|path| text.starts_with(path));
+            let added = starts(&Mark::Since(2).name());
+            let status = if first {
+                "200 OK"
+            } else if added {
+                status
+            } else {
+                "404 Not Found"
+            };
+            let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await.expect("could not write the answer");
+        }
+    });
+    let fleet = Fleet::without_nodes(&["a"]).await;
+    let history = Arc::new(History::default());
+    let acked = Instant::now() - BOUND;
+    (1..=2).for_each(|number| {
+        history.begin(number, 0);
+        history.acknowledge(acked);
+    });
+    history.publish_invalid(&fleet, 4);
+    let (stop, checker) = (Arc::new(AtomicBool::new(false)), Arc::new(Checker::default()));
+    let monitor = ForceMonitor {
+        name: "node".to_owned(),
+        node,
+        history,
+        disturbances: Arc::new(Disturbances::since(acked, BOUND)),
+        checker: Arc::clone(&checker),
+        stop: Arc::clone(&stop),
+        rng: SmallRng::seed_from_u64(1),
+        reported: 0,
+        served: Served::default(),
+    };
+    let task = tokio::spawn(monitor.run());
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    stop.store(true, Ordering::SeqCst);
+    task.await.expect("could not join the monitor");
+    checker.check(&[])
+}
+
+/// Each series has an outage that ends, a version just before it, some after it, and an invalid one that is
+/// replaced.
+#[test]
+fn outages_come_between_versions_and_end() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..200 {
+        let mut steps = outages::draw(&mut rng, 350, Duration::from_secs(3));
+        steps.sort_by_key(|step| step.at);
+        let at = |wanted: fn(&Action) -> bool| {
+            steps.iter().filter(|step| wanted(&step.action)).map(|step| step.at).collect::<Vec<_>>()
+        };
+        let (dark, light) = (
+            at(|action| matches!(action, Action::Darken(true)))[0],
+            at(|action| matches!(action, Action::Darken(false)))[0],
+        );
+        let added = at(|action| matches!(action, Action::Resize(_)));
+        assert!(added[0] <= dark && added[1..].iter().all(|at| *at >= light));
+        let invalid = at(|action| matches!(action, Action::PublishInvalid))[0];
+        assert!(at(|action| matches!(action, Action::Publish)).iter().any(|at| *at > invalid));
+        assert!(dark < light && light - dark < SETTLING_TIME + Duration::from_secs(1));
+    }
+}
+
 /// A request to an upstream that leaves counts only if it is late at both nodes it has crossed.
 #[test]
 fn requests_to_leaving_upstreams_are_detected() {
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -12,7 +12,8 @@
 fn check_seed(program: &Path, seed: u64, duration: Duration, routes: usize) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{seed}-{routes}"));
     let program = program.to_owned();
-    let options = RunOptions { seed, nodes: 4, routes, duration, program, folder };
+    let options =
+        RunOptions { seed, nodes: 4, zones: 2, site: false, routes, duration, program, folder };
     let runtime = tokio::runtime::Runtime::new().expect("could not start the runtime");
     let report = runtime.block_on(run(&options)).expect("could not finish the run");
     assert!(report.violations.is_empty(), "seed {seed}: {report}");
@@ -41,6 +42,28 @@
     check_seed(&program::build(), 34_003, Duration::from_secs(14), 200);
 }
 
+/// Versions add routes around short silent outages of the whole store, in a fleet with three zones and links
+/// of its own; readers whose calls were lost in one heard of nothing for 26.5 s.
+#[test]
+fn added_routes_are_served_after_silent_outages() {
+    let (seed, duration) = (37_202, Duration::from_secs(14));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("site");
+    let program = program::build();
+    let options = RunOptions {
+        seed,
+        nodes: 10,
+        zones: 3,
+        site: true,
+        routes: 200,
+        duration,
+        program,
+        folder,
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("could not start the runtime");
+    let report = runtime.block_on(run(&options)).expect("could not finish the run");
+    assert!(report.violations.is_empty(), "seed {seed}: {report}");
+}
+
 /// Configurations follow in quick succession and upstreams leave, while two nodes stay calm and one
 /// of them is behind a slow link.
 #[test]
