--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -106,7 +106,7 @@
                 NextStep::Retry
             }
             SendResult::Lost(_) => self.step_after_loss(call, progress),
-            SendResult::Replied(result) => self.step_after_reply(call, progress, result),
+            SendResult::Replied(result) => self.step_after_reply(call, progress, *result),
         }
     }
 
@@ -240,7 +240,8 @@
         let sending = async {
             if local {
                 let (head, body) = (call.head.clone(), call.body.clone());
-                return SendResult::Replied(self.run_locally(metadata, head, body).await);
+                let result = self.run_locally(metadata, head, body).await;
+                return SendResult::Replied(Box::new(result));
             }
             self.send_to_peer(self.gate_addr(choice.addr), &metadata, call).await
         };
@@ -320,7 +321,7 @@
         };
         let answered = reply.outcome == GateOutcome::Answered;
         let response = answered.then(|| response::forwarded(&call.head.method, head, body));
-        SendResult::Replied(GateResult { reply, response })
+        SendResult::Replied(Box::new(GateResult { reply, response }))
     }
 
     /// Updates load, round-trip time, service time and failures after a send.
@@ -369,7 +370,9 @@
         peer.record_message();
         peer.connect_failures = 0;
         peer.update_rtt((now - sent_at).saturating_sub(reply.elapsed));
-        if let SendResult::Replied(GateResult { response: Some(response), .. }) = result {
+        if let SendResult::Replied(result) = result
+            && let Some(response) = &result.response
+        {
             state.update_profile(&call.route, reply.service_time, response);
         }
     }
--- a/crates/mesh/src/send_result.rs
+++ b/crates/mesh/src/send_result.rs
@@ -8,7 +8,7 @@
 /// Result of sending a request to one gate.
 pub(crate) enum SendResult {
     /// The gate replied.
-    Replied(GateResult),
+    Replied(Box<GateResult>),
     /// No byte was sent, for this reason.
     Unsent(String),
     /// The request may have run, but there is no reply, for this reason.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -27,19 +27,31 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Answers 200 on the route of the version in force, and 404 on any other.
-async fn serve(listener: TcpListener, in_force: Arc<AtomicU64>) {
+/// Answers each request, whose head starts as passed, with the status that `status` returns for it.
+async fn serve_statuses(listener: TcpListener, status: impl Fn(&str) -> &'static str) {
     while let Ok((mut stream, _)) = listener.accept().await {
         let mut bytes = [0_u8; 1_024];
         let len = stream.read(&mut bytes).await.expect("could not read the request");
-        let path = format!("GET /{}/1 ", version_route(in_force.load(Ordering::SeqCst)));
-        let found = String::from_utf8_lossy(&bytes[..len]).starts_with(&path);
-        let status = if found { "200 OK" } else { "404 Not Found" };
+        let status = status(&String::from_utf8_lossy(&bytes[..len]));
         let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
         stream.write_all(text.as_bytes()).await.expect("could not write the answer");
     }
 }
 
+/// Returns the status of a route that is there or not.
+fn status_if(found: bool) -> &'static str {
+    if found { "200 OK" } else { "404 Not Found" }
+}
+
+/// Answers 200 on the route of the version in force, and 404 on any other.
+async fn serve(listener: TcpListener, in_force: Arc<AtomicU64>) {
+    let status = |text: &str| {
+        let path = format!("GET /{}/1 ", version_route(in_force.load(Ordering::SeqCst)));
+        status_if(text.starts_with(&path))
+    };
+    serve_statuses(listener, status).await;
+}
+
 /// Returns the violations found at a node where each version is in force for a while, with a
 /// restart before the last one if `restarted`.
 async fn monitor(versions: [u64; 3], restarted: bool) -> Vec<String> {
@@ -189,19 +201,14 @@
 /// Answers 200 on the routes that a version has, and 404 on any other; the version is the number
 /// in `in_force`, and adds ten routes where its number is odd.
 async fn serve_marks(listener: TcpListener, in_force: Arc<AtomicU64>) {
-    while let Ok((mut stream, _)) = listener.accept().await {
-        let mut bytes = [0_u8; 1_024];
-        let len = stream.read(&mut bytes).await.expect("could not read the request");
-        let text = String::from_utf8_lossy(&bytes[..len]).into_owned();
+    let status = |text: &str| {
         let number = in_force.load(Ordering::SeqCst);
         let mut marks = vec![Mark::Only(number)];
         marks.extend((1..=number).map(Mark::Since));
         marks.extend((0..if number % 2 == 1 { 10 } else { 0 }).map(Mark::Added));
-        let found = marks.iter().any(|mark| text.starts_with(&format!("GET /{}/1 ", mark.name())));
-        let status = if found { "200 OK" } else { "404 Not Found" };
-        let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
-        stream.write_all(text.as_bytes()).await.expect("could not write the answer");
-    }
+        status_if(marks.iter().any(|mark| text.starts_with(&format!("GET /{}/1 ", mark.name()))))
+    };
+    serve_statuses(listener, status).await;
 }
 
 /// Returns the violations found within 400 ms at a node that has version `in_force`, where versions
@@ -279,25 +286,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("could not bind a port");
     let node = listener.local_addr().expect("could not get the local address");
     let served = invalid.map(|number| format!("GET /{}/1 ", Mark::Invalid(number).name()));
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let mut bytes = [0_u8; 1_024];
-            let len = stream.read(&mut bytes).await.expect("could not read the request");
-            let text = String::from_utf8_lossy(&bytes[..len]).into_owned();
-            let starts = |name: &str| text.starts_with(&format!("GET /{name}/1 "));
-            let first = starts("get") || served.as_ref().is_some_and(|path| text.starts_with(path));
-            let added = starts(&Mark::Since(2).name());
-            let status = if first {
-                "200 OK"
-            } else if added {
-                status
-            } else {
-                "404 Not Found"
-            };
-            let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
-            stream.write_all(text.as_bytes()).await.expect("could not write the answer");
-        }
-    });
+    tokio::spawn(serve_statuses(listener, move |text| {
+        let starts = |name: &str| text.starts_with(&format!("GET /{name}/1 "));
+        let first = starts("get") || served.as_ref().is_some_and(|path| text.starts_with(path));
+        if starts(&Mark::Since(2).name()) { status } else { status_if(first) }
+    }));
     let fleet = Fleet::without_nodes(&["a"]).await;
     let history = Arc::new(History::default());
     let acked = Instant::now() - BOUND;
