--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -4,6 +4,8 @@
 //! Each zone has a few readers, which pass changes on to the other nodes. There is no consensus: a
 //! node that knows of too few readers becomes one, and a reader that knows of enough readers of
 //! higher weight stops. A wrong decision costs an extra call or a short delay, never correctness.
+//! While calls to the platform fail, the nodes of a zone take turns, so that the calls of a zone do not grow
+//! with its nodes.
 
 use std::collections::BTreeMap;
 
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -155,6 +155,7 @@
         };
         loop {
             let now = self.now();
+            self.log_reader(now);
             let unknown = self.is_unknown_to_peers();
             if follower.listed && unknown && !self.is_older(topic, now, MAX_UNKNOWN_AGE) {
                 self.follow_unknown(topic, now).await;
@@ -332,19 +333,25 @@
     /// its peers know changes that it could not get from them.
     fn reads_next(&self, topic: Topic, now: Micros) -> bool {
         let mut state = self.lock();
-        let was = state.readers.is_reading();
         let reader = state.readers.decide(now);
         let through = state.view.revision(topic);
-        let reads = reader || state.knowledge(topic).lag.is_overdue(now, through);
+        reader || state.knowledge(topic).lag.is_overdue(now, through)
+    }
+
+    /// Logs whether this node is a reader, and the age of what it knows, if that has changed since the last
+    /// line.
+    fn log_reader(&self, now: Micros) {
+        let mut state = self.lock();
+        let reads = state.readers.is_reading();
+        if std::mem::replace(&mut state.logged_reader, reads) == reads {
+            return;
+        }
         let age = |topic| state.age(now, topic).map_or(-1, |age| (age / MS) as i64);
-        let ages = Topic::ALL.map(age);
+        let [upstreams, control] = Topic::ALL.map(age);
         drop(state);
-        if was != reader {
-            let values: [(&str, &dyn std::fmt::Display); 3] =
-                [("reads", &reader), ("upstreams_age_ms", &ages[0]), ("control_age_ms", &ages[1])];
-            event::info(Event::ReaderChanged, &values);
-        }
-        reads
+        let values: [(&str, &dyn std::fmt::Display); 3] =
+            [("reads", &reads), ("upstreams_age_ms", &upstreams), ("control_age_ms", &control)];
+        event::info(Event::ReaderChanged, &values);
     }
 
     fn count_store_call(&self, result: &Result<Changes, StoreError>) {
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -140,7 +140,9 @@
     pub transfer: RoutingTransfer,
     /// Nodes of the zone that read the store.
     pub readers: Readers,
-    /// Outage of the store, while this node reads it.
+    /// Whether this node was a reader in the latest line of the log about that.
+    pub logged_reader: bool,
+    /// Outage of the store, as seen by this node or told by others of its zone.
     pub outage: Outage,
     /// Random number generator for choices.
     pub rng: SmallRng,
@@ -176,6 +178,7 @@
             routings: RecentRoutings::default(),
             transfer: RoutingTransfer::default(),
             readers: Readers::new(u64::from(vm), &settings.zone),
+            logged_reader: false,
             outage: Outage::default(),
             rng,
         }
