Answer all calls before bbv-node ends its stop

Callers saw connections that closed without a response: a call at another node 5 s after SIGTERM, one at the node's own upstream 15 s after it.

Cause: the server closed callers' connections 5 s after the upstream was idle, whatever they waited for, and calls with any deadline were taken meanwhile.

Change: callers have their responses 10 s after SIGTERM. A call with a later deadline is refused as not run (unknown, if it has a ticket, since it may have run before); one that still runs after 9.5 s ends as unknown, and 0.5 s are left to write that.

--- a/crates/node/src/cmd/run.rs
+++ b/crates/node/src/cmd/run.rs
@@ -1,11 +1,12 @@
 //! `bbv-node run`: runs a node until SIGTERM or SIGINT.
 
 use std::process::ExitCode;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bbv_node::ports::Ports;
 use bbv_node::quic::{self, Identity};
 use bbv_node::settings::Settings;
+use bbv_node::stop::STOP_TIMEOUT;
 use bbv_node::timer::Timer;
 use bbv_node::{Node, Options, platform, server, upstream};
 use eyre::{Result, WrapErr};
@@ -13,7 +14,8 @@
 use rand::{Rng, SeedableRng};
 use tokio::signal::unix::{SignalKind, signal};
 
-const HTTP_STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time from the start of a stop to the close of callers' connections.
+const CONNECTION_TIMEOUT: Duration = Duration::from_micros(STOP_TIMEOUT);
 
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
@@ -83,8 +85,9 @@
     wait_for_stop().await?;
     log::info!("event=stopping node={}", node.id());
     // Until the drain ends, new calls are still accepted and sent to other gates.
+    let stopping = Instant::now();
     let drained = node.drain().await;
-    callers.handle.stop_graceful(HTTP_STOP_TIMEOUT);
+    callers.handle.stop_graceful(CONNECTION_TIMEOUT.saturating_sub(stopping.elapsed()));
     let _ = callers.task.await;
     let complete = node.finish().await && drained;
     for task in tasks {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -76,20 +76,31 @@
         self.check_pause(now);
         self.metrics.calls.inc();
         let _open_call = OpenCall::new(self);
-        let outcome = match call.ticket {
-            // Only the owner of a ticket may refuse its operation, so local checks are skipped.
-            Some(ticket) => {
-                let ttl = self.ttl(&call);
-                self.call_ticket_owner(OperationRequest { ticket, ttl, request: call.request })
-                    .await
+        let has_ticket = call.ticket.is_some();
+        let outcome = if self.may_outlast_stop(now + self.ttl(&call)) {
+            outlasting(has_ticket)
+        } else {
+            tokio::select! {
+                // The order keeps simulations deterministic.
+                biased;
+                outcome = self.run_call(call) => outcome,
+                () = self.wait_until_late() => {
+                    Outcome::without_attempt(Ending::Unknown(UnknownReason::Late))
+                }
             }
-            None => self.call_without_ticket(call).await,
         };
         self.metrics.count_outcome(&outcome.ending);
         self.metrics.observe_latency(self.now().saturating_sub(now));
         outcome
     }
 
+    async fn run_call(self: &Arc<Self>, call: Call) -> Outcome {
+        // Only the owner of a ticket may refuse its operation, so local checks are skipped.
+        let Some(ticket) = call.ticket else { return self.call_without_ticket(call).await };
+        let ttl = self.ttl(&call);
+        self.call_ticket_owner(OperationRequest { ticket, ttl, request: call.request }).await
+    }
+
     fn ttl(&self, call: &Call) -> Micros {
         let state = self.lock();
         let entry = state.catalogue.entries.get(&call.request.entry);
@@ -370,6 +381,14 @@
 const LINK_GRACE: Micros = 50 * MS;
 
 /// Converts the reply of a ticket's owner to the outcome of the call.
+/// Returns the outcome of a call that is not begun, since it could outlast the stop of the node. One with a
+/// ticket may have run before.
+fn outlasting(has_ticket: bool) -> Outcome {
+    let refused = Ending::NotRun(Refusal::Draining);
+    let ending = if has_ticket { Ending::Unknown(UnknownReason::Late) } else { refused };
+    Outcome::without_attempt(ending)
+}
+
 pub(crate) fn outcome_from(reply: Reply) -> Outcome {
     match reply {
         Reply::Answer(answer) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod settings;
 mod state;
 mod status;
-mod stop;
+pub mod stop;
 mod tasks;
 pub use bbv_timer as timer;
 pub mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 use bbv_core::units::{MS, Micros};
 use bbv_wire::{PeerRequest, Reply, ReplyEnvelope, RequestEnvelope};
 use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::watch;
 
 use crate::audit::Event;
 use crate::metrics::Metrics;
@@ -25,6 +26,8 @@
     pub(crate) timer: Timer,
     pub(crate) metrics: Metrics,
     pub(crate) open_calls: AtomicU64,
+    /// Whether all calls have to be answered, since the node stops.
+    pub(crate) late: watch::Sender<bool>,
     state: Mutex<State>,
     last_tick: AtomicU64,
 }
@@ -44,6 +47,7 @@
             timer,
             metrics: Metrics::new(),
             open_calls,
+            late: watch::Sender::new(false),
             state,
             last_tick,
         })
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -32,6 +32,8 @@
 pub(crate) type OperationKey = (NodeId, u64);
 
 pub(crate) struct State {
+    /// Time by which all calls are answered, once the node stops.
+    pub answer_by: Option<Micros>,
     pub attempts: Attempts<Answer>,
     pub audit: Audit,
     pub catalogue: Catalogue,
@@ -98,6 +100,7 @@
         let node_chart = parse_chart(include_str!("../../../charts/node.yaml"));
         let upstream_chart = parse_chart(include_str!("../../../charts/upstream.yaml"));
         State {
+            answer_by: None,
             attempts: Attempts::new(MAX_ATTEMPTS),
             audit: Audit::new(MAX_AUDIT_LINES),
             catalogue: Catalogue::default(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -13,9 +13,10 @@
 use crate::node::Node;
 use crate::ports::LinkError;
 
-/// Maximum duration of each of the two phases of a stop, [`Node::drain`] and
-/// [`Node::finish`].
+/// Maximum duration of a stop until callers have their responses, and of [`Node::finish`].
 pub const STOP_TIMEOUT: Micros = 10 * SEC;
+/// Time before the end of `STOP_TIMEOUT` at which calls that still run are answered.
+const STOP_RESERVE: Micros = 500 * MS;
 
 const POLL_INTERVAL: Micros = 5 * MS;
 const MAX_HANDOFF_TRIES: usize = 5;
@@ -23,18 +24,21 @@
 impl Node {
     /// Stops admitting work for the upstream and waits until it is idle.
     ///
-    /// New calls are sent to other gates meanwhile. Returns whether the upstream was idle
-    /// within `STOP_TIMEOUT`.
+    /// New calls are sent to other gates meanwhile, unless their deadlines are after the end of the
+    /// stop. Returns whether the upstream was idle within `STOP_TIMEOUT`.
     pub async fn drain(self: &Arc<Self>) -> bool {
         let now = self.now();
+        let answer_by = now + STOP_TIMEOUT - STOP_RESERVE;
         {
             let mut state = self.lock();
+            state.answer_by = Some(answer_by);
             state.node_event(now, "stop");
             for owner in state.ticket_owners.values_mut() {
                 owner.close();
             }
         }
         self.announce_stop();
+        self.answer_late_calls(answer_by);
         self.wait_until(now + STOP_TIMEOUT, |node| {
             let state = node.lock();
             state.gate.running() == 0 && state.waiters.is_empty()
@@ -42,6 +46,27 @@
         .await
     }
 
+    /// Answers the calls that still run at `answer_by`.
+    fn answer_late_calls(self: &Arc<Self>, answer_by: Micros) {
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            node.timer.sleep_until(answer_by).await;
+            node.late.send_replace(true);
+        });
+    }
+
+    /// Returns whether a call with `deadline` could outlast a stop that has begun.
+    pub(crate) fn may_outlast_stop(&self, deadline: Micros) -> bool {
+        self.lock().answer_by.is_some_and(|answer_by| deadline > answer_by)
+    }
+
+    /// Waits until calls have to be answered, since the node stops.
+    pub(crate) async fn wait_until_late(&self) {
+        let mut late = self.late.subscribe();
+        // Fails only if the sender is gone, and the node owns it.
+        let _ = late.wait_for(|late| *late).await;
+    }
+
     /// Ends a stop once callers can no longer connect: waits for their calls, hands the
     /// operation records over and logs the counts.
     ///
