Tell more of a node that does not serve without faults in the soak

The message told neither the last response nor whether the process ran. It names them now, with the last lines of the node's log; the check and its bound stand, except that a request without any response no longer blocks for good.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -108,6 +108,8 @@
 const CALLER_SEED_MASK: u64 = 0xca11_0000;
 /// Time within which a fleet without faults serves requests and has complete state again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
+/// Lines of a node's log that a failed wait shows.
+const LAST_LINES: usize = 40;
 /// XORed with the seed of a run and the number of a node to seed its monitor of routes.
 const MONITOR_SEED_MASK: u64 = 0xf0_0000;
 /// Number of the version that is published once the faults have ended.
@@ -136,7 +138,7 @@
     history.begin(1, 0);
     history.acknowledge(Instant::now());
     let mut nodes = start_nodes(options, &fleet, links).await?;
-    wait_until_served(&fleet).await?;
+    wait_until_served(&fleet, &mut nodes).await?;
     let checker = Arc::new(Checker::default());
     let stop = Arc::new(AtomicBool::new(false));
     let newest = Arc::new(AtomicU64::new(1));
@@ -146,7 +148,7 @@
     let injector = Injector::new(options, &fleet, &mut nodes, &newest, &history, &calm)?;
     let (faults, absences) = injector.run(options).await?;
     faults::clear(&fleet, &mut nodes).await?;
-    wait_until_served(&fleet).await?;
+    wait_until_served(&fleet, &mut nodes).await?;
     check_without_faults(&fleet, &checker, &history, options).await;
     stop.store(true, Ordering::Relaxed);
     for task in tasks {
@@ -302,13 +304,23 @@
 }
 
 /// Waits until every node answers with success.
-async fn wait_until_served(fleet: &Fleet) -> Result<()> {
+async fn wait_until_served(fleet: &Fleet, nodes: &mut [Node]) -> Result<()> {
     let started = Instant::now();
-    for index in 0..fleet.members.len() {
+    for (index, node) in nodes.iter_mut().enumerate() {
         let text = caller::request("GET", "/get/1", "probe", 900, "");
-        while caller::try_send(fleet.callers(index), &text).await.status != 200 {
+        loop {
+            let response = caller::try_send(fleet.callers(index), &text);
+            let response = tokio::time::timeout(RECOVERY_LIMIT, response).await;
+            if response.as_ref().is_ok_and(|response| response.status == 200) {
+                break;
+            }
             if started.elapsed() > RECOVERY_LIMIT {
-                bail!("no status 200 from node {index} within {RECOVERY_LIMIT:?} without faults");
+                let ended = node.process.status();
+                let log = last_lines(node.process.log());
+                bail!(
+                    "no status 200 from node {index} within {RECOVERY_LIMIT:?} without faults, \
+                     last {response:?}, process ended {ended:?}, log:\n{log}"
+                );
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
@@ -316,6 +328,13 @@
     Ok(())
 }
 
+/// Returns the last lines of the log at `path`, or nothing if it cannot be read.
+fn last_lines(path: &Path) -> String {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(LAST_LINES)..].join("\n")
+}
+
 /// Checks the limits of a fleet without faults: a published route, after which the configuration
 /// has more routes, and a larger limit on heads
 /// are in force in time, also on open connections, and a draining upstream and an evacuated zone
