Give what bbv-node knows an age and an end

While the readers of a zone are cut off from the platform, nodes that reach it go on waiting for them; a change is in force nowhere.

Change: replies carry the age of the sender's documents, counted from the start of its read; the way of the reply counts as well. A node whose documents are older than 2 s reads the platform itself after up to 1 s; failing reads of a zone come every 250 ms on average. The format of messages has version 2. Tests of processes use addresses of their own: ports that were only free for the moment were taken once by another test.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -1,6 +1,6 @@
-//! Age of what a bbv-mesh node knows of one topic of the published state, counted from its source: a node
-//! that reads the platform. Every message that hands knowledge on carries this age, and a node whose
-//! knowledge is too old gets it from elsewhere.
+//! Age of what a node knows of the published state, counted from its source: a node that reads the platform.
+//! Messages that hand knowledge on carry this age, and a node whose knowledge is too old gets it from
+//! elsewhere.
 
 use crate::units::{MS, Micros};
 
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,8 +8,9 @@
 use bbv_core::id::Vm;
 use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_wire::{PeerRequest, Reply};
-use rand::Rng;
+use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 
 use crate::audit::Event;
 use crate::node::Node;
@@ -23,11 +24,22 @@
 /// Longest time for which a read waits for changes. A connection that has gone silent is found when the
 /// response is overdue, early enough for a change to be in force within 4 s.
 const WATCH_TIMEOUT: Micros = SEC;
+/// XORed with the seed of a node to seed the waits of [`Node::wait_for_news`].
+const AGED_SEED_MASK: u64 = 0xa9ed;
 const MIN_BACKOFF: Micros = 200 * MS;
 /// Longest backoff, without jitter, after which the end of an outage is noticed.
 const MAX_BACKOFF: Micros = SEC;
 const MIN_READ_DELAY: Micros = SEC;
 const READER_CHECK_INTERVAL: Micros = SEC;
+/// Age of the documents from which a node reads the platform itself. Together with the waits until it does and
+/// a read, it is less than the 4 s in which a change is in force.
+const MAX_AGE: Micros = 2 * SEC;
+/// Interval at which the age is checked.
+const AGE_CHECK_INTERVAL: Micros = 250 * MS;
+/// Longest wait of a node whose documents are too old, since one read by one of them serves its peers.
+const MAX_AGED_DELAY: Micros = SEC;
+/// Mean interval of such reads in a zone while they fail, whatever the number of its nodes.
+const FAILED_INTERVAL: Micros = 250 * MS;
 
 impl Node {
     /// Applies changes from a peer or the platform, and pushes new ones to peers.
@@ -190,17 +202,49 @@
     /// Returns whether this node is one of the nodes of its zone that read the platform.
     fn is_platform_reader(&self) -> bool {
         let state = self.lock();
-        let zone = &state.zone;
-        let peers = state.fleet.members().filter(|m| m.listed.zone == *zone && !m.listed.leaving);
-        let vms: Vec<u64> = peers.map(|member| u64::from(member.listed.vm.0)).collect();
         let me = u64::from(state.me.vm.0);
-        vms.is_empty() || is_reader(zone, me, &vms, READERS_PER_ZONE)
+        let vms = state.zone_vms();
+        vms.is_empty() || is_reader(&state.zone, me, &vms, READERS_PER_ZONE)
+    }
+
+    fn is_aged(&self) -> bool {
+        let now = self.now();
+        self.lock().freshness.is_older(now, MAX_AGE)
+    }
+
+    /// Waits for a while in which other nodes read the platform; returns whether this node has to read it
+    /// itself, since what it hears is too old. `failed` tells whether its latest read failed.
+    async fn wait_for_news(&self, failed: bool, rng: &mut SmallRng) -> bool {
+        let end = self.now() + READER_CHECK_INTERVAL;
+        while !self.is_aged() {
+            if self.now() >= end {
+                return false;
+            }
+            self.timer.sleep(AGE_CHECK_INTERVAL).await;
+        }
+        let nodes = self.lock().zone_vms().len() as Micros;
+        let spread = if failed { 2 * nodes * FAILED_INTERVAL } else { MAX_AGED_DELAY };
+        self.timer.sleep(rng.random_range(0..=spread)).await;
+        self.is_aged()
+    }
+
+    /// Records what the platform answered to a read that began at `asked`, unless it answers from an older
+    /// state.
+    fn confirm_read(&self, asked: Micros, published: &Published) {
+        let now = self.now();
+        let mut state = self.lock();
+        if published.through >= state.documents.through() {
+            state.confirm_documents(now, published.through, Some(now.saturating_sub(asked)));
+        }
     }
 
     /// Reads the platform once, then watches it while this node is a reader of its zone.
     pub(crate) async fn read_platform(self: Arc<Self>) {
         let mut backoff = MIN_BACKOFF;
         let mut first = true;
+        let mut failed = false;
+        // A generator of its own leaves the choices of the other tasks as they are.
+        let mut rng = SmallRng::seed_from_u64(self.options.seed ^ AGED_SEED_MASK);
         if !self.options.peers.is_empty() {
             // Peers are tried first, so that a starting fleet does not read the platform all at
             // once.
@@ -209,19 +253,22 @@
             first = self.lock().documents.through() == 0;
         }
         loop {
-            if !first && !self.is_platform_reader() {
-                self.timer.sleep(READER_CHECK_INTERVAL).await;
+            let reader = first || self.is_platform_reader();
+            if !reader && !self.wait_for_news(failed, &mut rng).await {
                 continue;
             }
             let through = self.lock().documents.through();
-            let timeout = if first { 0 } else { WATCH_TIMEOUT };
+            let timeout = if first || !reader { 0 } else { WATCH_TIMEOUT };
             self.metrics.platform_reads.inc();
+            let asked = self.now();
             let result = (self.ports.platform)(through, timeout).await;
+            failed = result.is_err();
             match result {
                 Ok(published) => {
                     first = false;
                     backoff = MIN_BACKOFF;
                     self.apply_published(&published);
+                    self.confirm_read(asked, &published);
                     self.mark_caught_up();
                     if published.through < through {
                         // The platform is behind the revision in force.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -150,18 +150,19 @@
         }
     }
 
-    /// Records the load, round-trip time, liveness and revision in a reply.
+    /// Records the load, round-trip time, liveness, revision and its age in a reply.
     fn record_envelope(self: &Arc<Self>, sent: Micros, reply: &ReplyEnvelope) {
         let now = self.now();
         let vm = reply.from.vm;
         self.record_message(reply.from, reply.revision, reply.stopping);
+        let rtt = now.saturating_sub(sent).saturating_sub(reply.processing_time);
         let mut state = self.lock();
+        state.confirm_documents(now, reply.revision, reply.age.map(|age| age + rtt));
         let service = state.fleet.member(vm).map(|member| member.listed.service.clone());
         let Some(balancer) = service.and_then(|name| state.balancers.get_mut(&name)) else {
             return;
         };
         balancer.record_sample(now, vm, reply.load);
-        let rtt = now.saturating_sub(sent).saturating_sub(reply.processing_time);
         balancer.record_rtt(vm, rtt);
     }
 
@@ -205,6 +206,7 @@
         ReplyEnvelope {
             from: state.me,
             revision: state.documents.through(),
+            age: state.freshness.age(now),
             stopping: state.draining(),
             load: state.gate.load(now),
             processing_time: now.saturating_sub(arrived),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -8,7 +8,8 @@
 use bbv_core::catalogue::Catalogue;
 use bbv_core::chart::{Chart, State as ChartState};
 use bbv_core::documents::{DocumentChange, Documents};
-use bbv_core::fleet::Fleet;
+use bbv_core::fleet::{Fleet, ListedVm};
+use bbv_core::freshness::Freshness;
 use bbv_core::gate::{Bounds, Gate, GateDequeued};
 use bbv_core::id::{NodeId, Vm};
 use bbv_core::operation::TicketOwner;
@@ -19,7 +20,7 @@
 use bbv_core::reconciliation::AttemptLog;
 use bbv_core::ticket::Key;
 use bbv_core::token_budget::TokenBudget;
-use bbv_core::units::{MS, Micros};
+use bbv_core::units::{MS, Micros, Revision};
 use bbv_wire::{Answer, Reply};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -42,6 +43,8 @@
     pub upstream_chart: Chart,
     pub refused_budget: TokenBudget,
     pub fleet: Fleet,
+    /// Age of the documents, counted from the platform.
+    pub freshness: Freshness,
     pub gate: Gate,
     pub hedge_budget: TokenBudget,
     pub me: NodeId,
@@ -111,6 +114,7 @@
             wall_clock: options.wall_ms.map(|ms| (ms, now)),
             refused_budget: TokenBudget::new(REFUSED_RATIO, BURST),
             fleet: Fleet::default(),
+            freshness: Freshness::default(),
             gate: Gate::new(DEFAULT_BOUNDS, now),
             hedge_budget: TokenBudget::new(HEDGE_RATIO, SMALL_BURST),
             me,
@@ -150,6 +154,20 @@
         matches!(self.node_state_name(), "draining" | "stopped")
     }
 
+    /// Returns the VMs of this zone that are not to leave, as numbers.
+    pub fn zone_vms(&self) -> Vec<u64> {
+        let stays = |listed: &ListedVm| listed.zone == self.zone && !listed.leaving;
+        let members = self.fleet.members().filter(|member| stays(&member.listed));
+        members.map(|member| u64::from(member.listed.vm.0)).collect()
+    }
+
+    /// Records that the platform had nothing newer than `revision` `age` ago, if all of that is known here.
+    pub fn confirm_documents(&mut self, now: Micros, revision: Revision, age: Option<Micros>) {
+        if revision <= self.documents.through() {
+            self.freshness.confirm(now, age);
+        }
+    }
+
     /// Applies an event to the node's state chart and writes the audit trail.
     pub fn node_event(&mut self, now: Micros, event: &str) {
         let next = self.node_chart.next(self.node_state, event).unwrap_or(self.node_state);
--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -5,6 +5,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use bbv_core::documents::is_reader;
 use bbv_stand::proxy::Mode;
 
 use crate::running::{Fleet, Running, client};
@@ -13,6 +14,8 @@
 const SERVICE: &str = "inspection-records";
 /// Service of the other node of a pair.
 const OTHER_SERVICE: &str = "crew-scheduling";
+/// Nodes of a zone that read the platform.
+const READERS_PER_ZONE: usize = 2;
 /// Time that a request takes, for a test that does not need more.
 const RUN_TIME: Duration = Duration::from_millis(300);
 /// Time within which a change is in force.
@@ -42,20 +45,23 @@
     (fleet, running)
 }
 
-/// Publishes a change, which is in force at `running` within `limit`.
-async fn check_in_force(fleet: &Fleet, running: &Running, limit: Duration) {
+/// Publishes a change, which is in force at all of `nodes` within `limit`.
+async fn check_in_force(fleet: &Fleet, nodes: &[&Running], limit: Duration) {
     fleet.platform.publish("out", Some("{\"zones\": [], \"vms\": []}".to_owned()));
     let published = Instant::now();
     let revision = format!("\"revision\":{}", fleet.platform.revision());
-    let status = format!("http://{}/status", running.operators);
-    while published.elapsed() < limit {
-        let response = client().get(&status).send().await.expect("a response");
-        if response.text().await.expect("a body").contains(&revision) {
-            return;
+    for running in nodes {
+        let status = format!("http://{}/status", running.operators);
+        loop {
+            let response = client().get(&status).send().await.expect("a response");
+            let elapsed = published.elapsed();
+            if response.text().await.expect("a body").contains(&revision) {
+                break;
+            }
+            assert!(elapsed < limit, "not in force at {} after {elapsed:?}", running.callers);
+            tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    panic!("not in force after {limit:?}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -112,10 +118,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn change_is_in_force_after_connections_to_the_platform_went_silent() {
     let (fleet, running) = start_one("silent").await;
-    check_in_force(&fleet, &running, FORCE_LIMIT).await;
+    check_in_force(&fleet, &[&running], FORCE_LIMIT).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.proxy.silence_open();
-    check_in_force(&fleet, &running, FORCE_LIMIT).await;
+    check_in_force(&fleet, &[&running], FORCE_LIMIT).await;
 }
 
 /// A node noticed the end of an outage of the platform up to 15 s late.
@@ -126,5 +132,23 @@
     fleet.proxy.reset_open();
     tokio::time::sleep(Duration::from_secs(7)).await;
     *fleet.proxy.mode.lock() = Mode::Pass;
-    check_in_force(&fleet, &running, FORCE_LIMIT).await;
+    check_in_force(&fleet, &[&running], FORCE_LIMIT).await;
+}
+
+/// Nodes that do not read the platform heard of nothing while those that do were cut off from it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn change_is_in_force_while_readers_are_cut_off_from_the_platform() {
+    let fleet = Fleet::start("readers", CATALOGUE).await;
+    let mut nodes = Vec::new();
+    for vm in 1..=3 {
+        nodes.push(fleet.start_apart(vm, SERVICE, RUN_TIME).await);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for (vm, (_, proxy)) in (1..).zip(&nodes) {
+        if is_reader(&fleet.zone, vm, &[1, 2, 3], READERS_PER_ZONE) {
+            *proxy.mode.lock() = Mode::Silent;
+        }
+    }
+    let nodes: Vec<&Running> = nodes.iter().map(|(running, _)| running).collect();
+    check_in_force(&fleet, &nodes, FORCE_LIMIT).await;
 }
--- a/crates/node/tests/running/mod.rs
+++ b/crates/node/tests/running/mod.rs
@@ -1,9 +1,11 @@
 //! Nodes as processes, with stand-ins of their upstreams and of the platform.
 
-use std::net::SocketAddr;
+use std::fs::File;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bbv_core::catalogue::Catalogue;
@@ -19,18 +21,19 @@
 use bbv_trial::platform::Platform;
 
 const READY_TRIES: usize = 200;
+const CALLERS_PORT: u16 = 22_001;
+const OPERATORS_PORT: u16 = 22_002;
+const PEER_PORT: u16 = 22_003;
+
+/// Third address byte of the next fleet. A port that is only free for the moment may be taken by another
+/// test before the node binds it.
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(0);
 
 /// Returns an address with any port.
 pub fn any_port() -> SocketAddr {
     "127.0.0.1:0".parse().expect("an address")
 }
 
-/// Returns an address whose port is currently free.
-fn free_addr() -> SocketAddr {
-    let socket = std::net::TcpListener::bind(any_port()).expect("a free port");
-    socket.local_addr().expect("an address")
-}
-
 /// Returns a client without a proxy.
 pub fn client() -> reqwest::Client {
     reqwest::Client::builder().no_proxy().build().expect("a client")
@@ -42,7 +45,9 @@
     pub proxy: Proxy,
     catalogue: Catalogue,
     platform_addr: SocketAddr,
-    zone: String,
+    /// Third address byte of the nodes.
+    number: u8,
+    pub zone: String,
     authority: Authority,
     folder: PathBuf,
 }
@@ -53,6 +58,7 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub observer: Arc<Observer>,
+    log: PathBuf,
 }
 
 impl Drop for Running {
@@ -84,38 +90,63 @@
         let authority = Authority::new().expect("an authority");
         let folder = std::env::temp_dir().join(format!("bbv-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        Fleet { platform, proxy, catalogue, platform_addr, zone, authority, folder }
+        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        Fleet { platform, proxy, catalogue, platform_addr, number, zone, authority, folder }
     }
 
     /// Starts node `vm` beside an upstream of `service` that takes `run_time`, and waits until it is
     /// ready.
     pub async fn start_node(&self, vm: u32, service: &str, run_time: Duration) -> Running {
+        self.start_node_on(vm, service, run_time, self.platform_addr).await
+    }
+
+    /// Starts node `vm` with a proxy of its own in front of the platform.
+    pub async fn start_apart(
+        &self,
+        vm: u32,
+        service: &str,
+        run_time: Duration,
+    ) -> (Running, Proxy) {
+        let (proxy, addr) = Proxy::start(any_port(), self.platform_addr).await.expect("a proxy");
+        (self.start_node_on(vm, service, run_time, addr).await, proxy)
+    }
+
+    async fn start_node_on(
+        &self,
+        vm: u32,
+        service: &str,
+        run_time: Duration,
+        platform: SocketAddr,
+    ) -> Running {
         let observer = Arc::new(Observer::default());
         let median = run_time.as_micros() as u64;
         let pool = Pool { service: service.into(), endpoints: 1, median, sigma: 0.0 };
         let listed = &self.catalogue.services[service];
         let model = UpstreamModel::new(vm, listed, &pool, &Timer::real(), &observer, 1, false);
         let upstream = serve_upstream(any_port(), model).await.expect("an upstream");
-        let (callers, operators, peer) = (free_addr(), free_addr(), free_addr());
+        let process = (std::process::id() % 200) as u8 + 20;
+        let ip = IpAddr::from([127, process, self.number, vm as u8]);
+        let [callers, operators, peer] =
+            [CALLERS_PORT, OPERATORS_PORT, PEER_PORT].map(|port| SocketAddr::new(ip, port));
         self.list(vm, service, peer);
         let folder = self.folder.join(vm.to_string());
         std::fs::create_dir_all(&folder).expect("a folder");
         let tls = self.write_identity(&folder);
-        let (zone, platform, upstream) = (&self.zone, self.platform_addr, upstream.addr);
+        let (zone, upstream) = (&self.zone, upstream.addr);
         let settings = format!(
             "vm: {vm}\nzone: {zone}\nservice: {service}\ncallers: {callers}\n\
              operators: {operators}\npeer: {peer}\nupstream: http://{upstream}\n\
              platform: http://{platform}\n{tls}"
         );
-        let path = folder.join("node.yaml");
+        let (path, log) = (folder.join("node.yaml"), folder.join("node.log"));
         std::fs::write(&path, settings).expect("a file");
         let node = Command::new(env!("CARGO_BIN_EXE_bbv-node"))
             .arg("run")
             .arg(path)
-            .stderr(Stdio::null())
+            .stderr(File::create(&log).expect("a file"))
             .spawn()
             .expect("the node starts");
-        let running = Running { node, callers, operators, observer };
+        let running = Running { node, callers, operators, observer, log };
         running.wait_until_ready().await;
         running
     }
@@ -151,7 +182,8 @@
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        panic!("the node did not become ready");
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        panic!("the node did not become ready:\n{log}");
     }
 
     /// Waits until the upstream runs a request.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -17,7 +17,7 @@
 use crate::reply::Reply;
 use crate::request::{Attempt, CallerRequest, OperationRequest, PeerRequest};
 
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 type FlatNodeId = (u32, u64);
 type FlatAttemptId = (u32, u64, u64);
@@ -136,6 +136,7 @@
     version: u8,
     from: FlatNodeId,
     revision: u64,
+    age: Option<u64>,
     stopping: bool,
     load: Load,
     held: u64,
@@ -343,6 +344,7 @@
 /// let envelope = ReplyEnvelope {
 ///     from: bbv_core::id::NodeId::default(),
 ///     revision: 1,
+///     age: Some(7),
 ///     stopping: false,
 ///     load: bbv_core::load::Load::default(),
 ///     processing_time: 5,
@@ -357,6 +359,7 @@
         version: VERSION,
         from: flat_node_id(envelope.from),
         revision: envelope.revision,
+        age: envelope.age,
         stopping: envelope.stopping,
         load: envelope.load,
         held: envelope.processing_time,
@@ -408,6 +411,7 @@
     Ok(ReplyEnvelope {
         from: node_id(head.from),
         revision: head.revision,
+        age: head.age,
         stopping: head.stopping,
         load: head.load,
         processing_time: head.held,
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -27,6 +27,9 @@
     pub from: NodeId,
     /// Revision up to which the sender has all document changes.
     pub revision: Revision,
+    /// Time for which the sender knows that the platform had nothing newer, in microseconds; `None` if it
+    /// never knew that.
+    pub age: Option<Micros>,
     /// Whether the sender is shutting down.
     pub stopping: bool,
     /// Load of the sender's upstream.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -137,9 +137,9 @@
     }
 
     #[test]
-    fn reply_round_trips(from in node(), revision: u64, processing_time: u64, reply in reply()) {
+    fn reply_round_trips(from in node(), revision: u64, age: Option<u64>, processing_time: u64, reply in reply()) {
         let load = Default::default();
-        let envelope = ReplyEnvelope { from, revision, stopping: false, load, processing_time, reply };
+        let envelope = ReplyEnvelope { from, revision, age, stopping: false, load, processing_time, reply };
         prop_assert_eq!(decode_reply(encode_reply(&envelope).unwrap()).unwrap(), envelope);
     }
 
