Forget service times that refuse calls and are not renewed

Callers would have seen 503 from one node on one route, for good, after its process was paused.

Cause: a process that is busy when it is paused reads its input before its timers when it goes on, so that responses which lay in its buffers count with the length of the pause. The route's mean service time rises above callers' deadlines, gates refuse calls at once by that mean, and refused calls bring no sample. A slow spell of an upstream does the same where a route has long and short calls.

Change: times measured across a pause do not count, which late ticks tell; means that refuse a call and have had no sample for 2 s are forgotten.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod operation;
 pub mod outage;
 pub mod outcome;
+pub mod pauses;
 pub mod peer;
 pub mod placement;
 pub mod poison;
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -178,8 +178,14 @@
             ),
             Some(Err(completion)) => completion,
             Some(Ok(response)) => {
-                let service_time = (self.now() - started) * 100 / speed;
-                permit.finish(service_time);
+                let now = self.now();
+                // What a response took that arrived during a pause is not known.
+                let paused = self.lock().pauses.spans(now, started);
+                let took = (now - started) * 100 / speed;
+                let service_time = if paused { metadata.service_time } else { took };
+                if !paused {
+                    permit.finish(service_time);
+                }
                 Completion::answered(response, service_time, attempt.call_refused())
             }
         }
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -160,6 +160,7 @@
         let mut gossiped_at: Micros = 0;
         loop {
             let now = ticks.next().await.now;
+            self.lock().pauses.record_tick(self.now());
             self.poll_admission();
             self.expire_entries(now);
             let report = self.lock().load_report(now);
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -188,6 +188,7 @@
         let now = self.now();
         let mut state = self.lock();
         let state = &mut *state;
+        state.forget_hopeless(now, &call.route, call.deadline);
         let profile = state.profile(&call.route);
         let target = (call.arrived + call.route.target).saturating_sub(now).max(MS);
         let kb_cost = self.settings.zone_kb_cost * profile.response_bytes / 1_024.0;
@@ -369,11 +370,14 @@
         let peer = state.peers.entry(ip).or_default();
         peer.record_message();
         peer.connect_failures = 0;
+        if state.pauses.spans(now, sent_at) {
+            return;
+        }
         peer.update_rtt((now - sent_at).saturating_sub(reply.elapsed));
         if let SendResult::Replied(result) = result
             && let Some(response) = &result.response
         {
-            state.update_profile(&call.route, reply.service_time, response);
+            state.update_profile(now, &call.route, reply.service_time, response);
         }
     }
 }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -10,6 +10,7 @@
 use bbv_core::index::Index;
 use bbv_core::lag::MAX_LAG_DELAY;
 use bbv_core::outage::Outage;
+use bbv_core::pauses::Pauses;
 use bbv_core::peer::Peer;
 use bbv_core::placement::{LoadReport, UpstreamStats};
 use bbv_core::poison::Suspects;
@@ -41,6 +42,8 @@
 const INITIAL_RESPONSE_BYTES: f64 = 2_000.0;
 /// Weight of a new sample in the exponential moving averages of service time and response size.
 const PROFILE_GAIN: f64 = 0.1;
+/// Time without a sample after which averages no longer refuse calls.
+const PROFILE_TTL: Micros = 2 * SEC;
 /// Time for which an unreachable gate is avoided; doubled with each consecutive failure, up to
 /// [`MAX_BACKOFF_DOUBLINGS`] times.
 const UNREACHABLE_BACKOFF: Micros = 500 * MS;
@@ -56,6 +59,8 @@
     pub service_time: f64,
     /// Size of a response.
     pub response_bytes: f64,
+    /// Time of the latest sample.
+    pub sampled_at: Micros,
 }
 
 /// State of the upstream beside this node.
@@ -121,6 +126,8 @@
     pub profiles: HashMap<Name, RouteProfile>,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<Name, RetryBudget>,
+    /// Pauses of this process.
+    pub pauses: Pauses,
     /// Requests that crashed upstreams.
     pub suspects: Suspects,
     /// Other nodes, by address.
@@ -168,6 +175,7 @@
             upstream_stats: BTreeMap::new(),
             splitter: Splitter::default(),
             profiles: HashMap::new(),
+            pauses: Pauses::new(now),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             peers: HashMap::new(),
@@ -344,6 +352,7 @@
     /// Adds a request to the averages of its route.
     pub fn update_profile(
         &mut self,
+        now: Micros,
         route: &Route,
         service_time: Micros,
         response: &Response<Full<Bytes>>,
@@ -354,13 +363,25 @@
             current.service_time + (service_time as f64 - current.service_time) * PROFILE_GAIN;
         let response_bytes =
             current.response_bytes + (response_bytes - current.response_bytes) * PROFILE_GAIN;
-        self.profiles.insert(route.name.clone(), RouteProfile { service_time, response_bytes });
+        let profile = RouteProfile { service_time, response_bytes, sampled_at: now };
+        self.profiles.insert(route.name.clone(), profile);
+    }
+
+    /// Forgets the averages of `route` if a call with `deadline` would be refused for them and they have
+    /// not been renewed for a while: refused calls bring no samples.
+    pub fn forget_hopeless(&mut self, now: Micros, route: &Route, deadline: Micros) {
+        let Some(profile) = self.profiles.get(&route.name) else { return };
+        let hopeless = now + profile.service_time as Micros > deadline;
+        if hopeless && now > profile.sampled_at + PROFILE_TTL {
+            self.profiles.remove(&route.name);
+        }
     }
 
     /// Returns the averages of `route`, or initial values if there are none.
     pub fn profile(&self, route: &Route) -> RouteProfile {
         let service_time = INITIAL_SERVICE_TIME.min(route.target as f64 / 2.0);
-        let initial = RouteProfile { service_time, response_bytes: INITIAL_RESPONSE_BYTES };
+        let response_bytes = INITIAL_RESPONSE_BYTES;
+        let initial = RouteProfile { service_time, response_bytes, sampled_at: 0 };
         self.profiles.get(&route.name).copied().unwrap_or(initial)
     }
 }
