--- a/crates/soak/src/bursts.rs
+++ b/crates/soak/src/bursts.rs
@@ -30,7 +30,7 @@
     /// Publishes a version of the routing that is invalid and has a route of its own.
     PublishInvalid,
     /// The store is silent for all nodes from now on, or answers again.
-    Darken(bool),
+    Outage(bool),
     /// Connections from other zones into the last one are silent from now on, or no longer are.
     CutZone(bool),
     /// Watches hear nothing from now on, or as before.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -48,7 +48,7 @@
     /// Proxies in front of the node and of the nodes of other zones, if its zone is behind such.
     pub peer_proxies: Vec<Proxy>,
     /// Whether the store is silent for all nodes.
-    pub dark: Arc<AtomicBool>,
+    pub outage: Arc<AtomicBool>,
     /// Whether the process was stopped or killed and has not been restarted yet.
     pub stopping: bool,
     /// Whether the process is paused.
@@ -69,7 +69,7 @@
         let proxies = [&self.store_proxy, &self.upstream_proxy].into_iter();
         let harmed =
             proxies.chain(&self.peer_proxies).any(|proxy| *proxy.mode.lock() != Mode::Pass);
-        let refused = [&self.refused, &self.muted, &self.dark];
+        let refused = [&self.refused, &self.muted, &self.outage];
         let refused = refused.iter().any(|it| it.load(Ordering::Relaxed));
         self.disturbances.set(self.paused || self.stopping || refused || harmed);
     }
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -140,7 +140,7 @@
             }
         }
         self.mute(false);
-        self.darken(false);
+        self.set_outage(false);
         self.cut_zone(false);
         for node in 0..self.nodes.len() {
             self.end_absence(node)?;
@@ -201,7 +201,7 @@
                 | Action::Silence
                 | Action::Mute(_)
                 | Action::Forget
-                | Action::Darken(_)
+                | Action::Outage(_)
                 | Action::CutZone(_) => self.disturb_links(step.action)?,
             }
         }
@@ -259,7 +259,7 @@
             Action::Cut(Some(node)) => self.nodes[node].store_proxy.reset_open(),
             Action::Silence => self.nodes.iter().for_each(Node::silence_store),
             Action::Mute(muted) => self.mute(muted),
-            Action::Darken(dark) => self.darken(dark),
+            Action::Outage(away) => self.set_outage(away),
             Action::CutZone(cut) => self.cut_zone(cut),
             Action::Forget => {
                 self.fleet.store.drop_history();
@@ -272,11 +272,11 @@
     }
 
     /// Makes the store silent for all nodes or ends that.
-    fn darken(&self, dark: bool) {
+    fn set_outage(&self, away: bool) {
         for node in self.nodes.iter() {
-            node.dark.store(dark, Ordering::Relaxed);
+            node.outage.store(away, Ordering::Relaxed);
             let mut mode = node.store_proxy.mode.lock();
-            *mode = if dark { Mode::Silent } else { Mode::Pass };
+            *mode = if away { Mode::Silent } else { Mode::Pass };
             drop(mode);
             node.record_disturbed();
         }
--- a/crates/soak/src/outages.rs
+++ b/crates/soak/src/outages.rs
@@ -29,8 +29,8 @@
     let end = outage + Duration::from_millis(rng.random_range(LENGTH_MS));
     let mut steps = vec![
         Step { at: lead, action: Action::Resize(rng.random_range(0..=routes)) },
-        Step { at: outage, action: Action::Darken(true) },
-        Step { at: end, action: Action::Darken(false) },
+        Step { at: outage, action: Action::Outage(true) },
+        Step { at: end, action: Action::Outage(false) },
     ];
     for _ in 0..LATER_VERSIONS {
         let action = Action::Resize(rng.random_range(0..=routes));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -194,7 +194,7 @@
             store_proxy,
             upstream_proxy,
             peer_proxies: links.remove(&index).unwrap_or_default(),
-            dark: Arc::default(),
+            outage: Arc::default(),
             stopping: false,
             paused: false,
             generation: Arc::default(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -329,15 +329,15 @@
         let at = |wanted: fn(&Action) -> bool| {
             steps.iter().filter(|step| wanted(&step.action)).map(|step| step.at).collect::<Vec<_>>()
         };
-        let (dark, light) = (
-            at(|action| matches!(action, Action::Darken(true)))[0],
-            at(|action| matches!(action, Action::Darken(false)))[0],
+        let (start, end) = (
+            at(|action| matches!(action, Action::Outage(true)))[0],
+            at(|action| matches!(action, Action::Outage(false)))[0],
         );
         let added = at(|action| matches!(action, Action::Resize(_)));
-        assert!(added[0] <= dark && added[1..].iter().all(|at| *at >= light));
+        assert!(added[0] <= start && added[1..].iter().all(|at| *at >= end));
         let invalid = at(|action| matches!(action, Action::PublishInvalid))[0];
         assert!(at(|action| matches!(action, Action::Publish)).iter().any(|at| *at > invalid));
-        assert!(dark < light && light - dark < SETTLING_TIME + Duration::from_secs(1));
+        assert!(start < end && end - start < SETTLING_TIME + Duration::from_secs(1));
     }
 }
 
