--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -78,7 +78,7 @@
         let _open_call = OpenCall::new(self);
         let has_ticket = call.ticket.is_some();
         let outcome = if self.may_outlast_stop(now + self.ttl(&call)) {
-            outlasting(has_ticket)
+            Outcome::outlasting(has_ticket)
         } else {
             tokio::select! {
                 // The order keeps simulations deterministic.
@@ -381,14 +381,6 @@
 const LINK_GRACE: Micros = 50 * MS;
 
 /// Converts the reply of a ticket's owner to the outcome of the call.
-/// Returns the outcome of a call that is not begun, since it could outlast the stop of the node. One with a
-/// ticket may have run before.
-fn outlasting(has_ticket: bool) -> Outcome {
-    let refused = Ending::NotRun(Refusal::Draining);
-    let ending = if has_ticket { Ending::Unknown(UnknownReason::Late) } else { refused };
-    Outcome::without_attempt(ending)
-}
-
 pub(crate) fn outcome_from(reply: Reply) -> Outcome {
     match reply {
         Reply::Answer(answer) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -157,7 +157,7 @@
         self.record_message(reply.from, reply.revision, reply.stopping);
         let rtt = now.saturating_sub(sent).saturating_sub(reply.processing_time);
         let mut state = self.lock();
-        state.confirm_documents(now, reply.revision, reply.age.map(|age| age + rtt));
+        state.confirm_documents(now, reply.revision, reply.age.map(|age| age.saturating_add(rtt)));
         let service = state.fleet.member(vm).map(|member| member.listed.service.clone());
         let Some(balancer) = service.and_then(|name| state.balancers.get_mut(&name)) else {
             return;
--- a/crates/node/src/outcome.rs
+++ b/crates/node/src/outcome.rs
@@ -50,4 +50,18 @@
     pub fn without_attempt(ending: Ending) -> Self {
         Outcome { ending, attempt: None, next_ticket: None }
     }
+
+    /// Creates the outcome of a call that is not begun, since it could outlast the stop of its node. One
+    /// with a ticket may have run before.
+    ///
+    /// ```
+    /// use bbv_node::outcome::{Ending, Outcome};
+    /// assert!(matches!(Outcome::outlasting(false).ending, Ending::NotRun(_)));
+    /// assert!(matches!(Outcome::outlasting(true).ending, Ending::Unknown(_)));
+    /// ```
+    pub fn outlasting(has_ticket: bool) -> Self {
+        let refused = Ending::NotRun(Refusal::Draining);
+        let unknown = Ending::Unknown(UnknownReason::Late);
+        Outcome::without_attempt(if has_ticket { unknown } else { refused })
+    }
 }
