--- a/crates/mesh/tests/paused.rs
+++ b/crates/mesh/tests/paused.rs
@@ -18,7 +18,9 @@
 const PAUSE: Duration = Duration::from_secs(4);
 /// Time that slow requests take, longer than [`DEADLINE_MS`].
 const SLOW_TIME: Duration = Duration::from_millis(2_500);
-/// Time after a pause at which a node serves again.
+/// Time after a pause at which a node serves again, before it forgets means that refuse calls.
+const PAUSE_SETTLING: Duration = Duration::from_secs(1);
+/// Time after slow requests at which others are served again.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Time after which a caller gives up, in milliseconds.
 const DEADLINE_MS: u64 = 900;
@@ -87,7 +89,7 @@
     }
     busy.await.expect("the busy callers panicked");
     set_delay(Duration::ZERO);
-    tokio::time::sleep(SETTLING_TIME).await;
+    tokio::time::sleep(PAUSE_SETTLING).await;
     for number in 0..20 {
         assert_eq!(status(&fleet, &format!("after-{number}")).await, 200, "call {number}");
     }
