Decode organisations and regions, and send only to upstreams in a call's homes

Cause: the configurations of the new deployments name organisations with keys and quotas, and regions in which a route's requests may run; the code knew neither.

Change: Route, Routing and Settings carry them, nodes send each other only the organisations that changed, and an ingress leaves out upstreams outside a call's homes. Without such entries nothing changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`freshness`], [`history`], [`index`], [`lag`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
 //!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
 //!   [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
@@ -27,6 +27,7 @@
 pub mod freshness;
 pub mod gate;
 pub mod history;
+pub mod homes;
 pub mod id;
 pub mod index;
 mod knee;
@@ -34,6 +35,7 @@
 pub mod limit;
 pub mod load;
 pub mod operation;
+pub mod organisation;
 pub mod outage;
 pub mod outcome;
 pub mod pauses;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::homes::Homes;
+use crate::organisation::{Organisation, Organisations};
 use crate::units::Micros;
 
 /// Shared name of a service, route, zone or upstream, cheap to clone.
@@ -42,6 +44,10 @@
     pub attempts: u32,
     /// Priority under overload; 0 is served first.
     pub rank: u8,
+    /// Regions in which requests may run.
+    pub homes: Homes,
+    /// Whether requests need no key of an organisation.
+    pub keyless: bool,
 }
 
 /// Limits of the upstreams of one service.
@@ -80,6 +86,8 @@
     pub limits: CallerLimits,
     /// Services by name.
     pub services: BTreeMap<Name, ServiceLimits>,
+    /// Organisations; if there are any, requests need a key.
+    pub organisations: Organisations,
     pub(crate) routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
 }
 
@@ -103,7 +111,20 @@
             let prefixes = routes.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route));
         }
-        Routing { version, limits, services, routes }
+        Routing { version, limits, services, organisations: Organisations::default(), routes }
+    }
+
+    /// Returns the routing with these organisations.
+    ///
+    /// ```
+    /// use bbv_core::route::{CallerLimits, Routing};
+    /// let limits = CallerLimits { head: 1, body: 1, head_time: 1, idle: 1 };
+    /// let routing = Routing::new(1, limits, Default::default(), Vec::new());
+    /// assert!(routing.with_organisations(Vec::new()).organisations.is_empty());
+    /// ```
+    pub fn with_organisations(mut self, list: Vec<Arc<Organisation>>) -> Self {
+        self.organisations = Organisations::new(list);
+        self
     }
 
     /// Finds the route of a request: the one with the longest prefix of `path`.
@@ -168,7 +189,7 @@
     /// ];
     /// let route = Route {
     ///     name: "r".into(), host: "h".into(), prefix: "/".into(), parts, idempotent: true,
-    ///     timeout: 1, target: 1, attempts: 1, rank: 0,
+    ///     timeout: 1, target: 1, attempts: 1, rank: 0, homes: Default::default(), keyless: false,
     /// };
     /// let mut splitter = Splitter::default();
     /// let next: Vec<_> = (0..4).map(|_| splitter.next(&route).to_string()).collect();
--- a/crates/core/src/routing_change.rs
+++ b/crates/core/src/routing_change.rs
@@ -1,13 +1,15 @@
-//! Differences between two routings of bbv-mesh, so that nodes exchange only the routes that changed.
+//! Differences between two routings of bbv-mesh, so that nodes exchange only the routes and
+//! organisations that changed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::organisation::{Organisation, Organisations};
 use crate::route::{CallerLimits, Name, Route, Routing, ServiceLimits};
 
-/// One route by which a routing differs from another.
+/// One route or organisation by which a routing differs from another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RouteChange {
     /// The route was added or changed.
@@ -19,10 +21,16 @@
         /// Prefix of the removed route.
         prefix: String,
     },
+    /// The organisation was added or changed.
+    SetOrganisation(Arc<Organisation>),
+    /// There is no organisation of this name any more.
+    RemoveOrganisation(Name),
 }
 
 /// Bytes of an encoded route besides its texts, at most.
 const FIXED_ROUTE_BYTES: usize = 32;
+/// Bytes of an encoded text besides the text itself, at most.
+const FIXED_TEXT_BYTES: usize = 8;
 /// Bytes of an encoded service of a route besides its name, at most.
 const FIXED_PART_BYTES: usize = 8;
 
@@ -39,9 +47,16 @@
             RouteChange::Set(route) => {
                 let texts = route.name.len() + route.host.len() + route.prefix.len();
                 let parts = route.parts.iter().map(|part| part.service.len() + FIXED_PART_BYTES);
-                FIXED_ROUTE_BYTES + texts + parts.sum::<usize>()
+                let homes = route.homes.iter().map(|region| region.len() + FIXED_TEXT_BYTES);
+                FIXED_ROUTE_BYTES + texts + parts.sum::<usize>() + homes.sum::<usize>()
             }
             RouteChange::Remove { host, prefix } => FIXED_ROUTE_BYTES + host.len() + prefix.len(),
+            RouteChange::SetOrganisation(organisation) => {
+                let keys = organisation.keys.iter().map(|key| key.len() + FIXED_TEXT_BYTES);
+                let homes = organisation.homes.iter().map(|region| region.len() + FIXED_TEXT_BYTES);
+                FIXED_ROUTE_BYTES + organisation.name.len() + keys.chain(homes).sum::<usize>()
+            }
+            RouteChange::RemoveOrganisation(name) => FIXED_ROUTE_BYTES + name.len(),
         }
     }
 }
@@ -72,6 +87,20 @@
             host: route.host.clone(),
             prefix: route.prefix.clone(),
         });
+        set.chain(gone).chain(self.organisation_changes(base)).collect()
+    }
+
+    /// Returns the changes that turn the organisations of `base`, or none, into those of this routing.
+    fn organisation_changes(&self, base: Option<&Routing>) -> Vec<RouteChange> {
+        let known = |name: &str| base.and_then(|base| base.organisations.get(name));
+        let is_new =
+            |organisation: &&Arc<Organisation>| known(&organisation.name) != Some(*organisation);
+        let set = self.organisations.iter().filter(is_new);
+        let set = set.map(|organisation| RouteChange::SetOrganisation(Arc::clone(organisation)));
+        let old = base.into_iter().flat_map(|base| base.organisations.iter());
+        let gone = old.filter(|organisation| self.organisations.get(&organisation.name).is_none());
+        let gone =
+            gone.map(|organisation| RouteChange::RemoveOrganisation(organisation.name.clone()));
         set.chain(gone).collect()
     }
 
@@ -91,6 +120,9 @@
         changes: Vec<RouteChange>,
     ) -> Self {
         let mut routes = base.map(|base| base.routes.clone()).unwrap_or_default();
+        let known = base.into_iter().flat_map(|base| base.organisations.iter());
+        let mut organisations: BTreeMap<Name, Arc<Organisation>> =
+            known.map(|known| (known.name.clone(), Arc::clone(known))).collect();
         for change in changes {
             match change {
                 RouteChange::Set(route) => {
@@ -104,9 +136,16 @@
                         routes.remove(&host);
                     }
                 }
+                RouteChange::SetOrganisation(organisation) => {
+                    organisations.insert(organisation.name.clone(), organisation);
+                }
+                RouteChange::RemoveOrganisation(name) => {
+                    organisations.remove(&name);
+                }
             }
         }
-        Routing { version, limits, services, routes }
+        let organisations = Organisations::new(organisations.into_values().collect());
+        Routing { version, limits, services, organisations, routes }
     }
 
     /// Replaces the routes that equal those of `base` by the ones of `base`, so that both routings
--- a/crates/core/tests/routing_pages.rs
+++ b/crates/core/tests/routing_pages.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use bbv_core::homes::Homes;
+use bbv_core::organisation::Organisation;
 use bbv_core::route::{CallerLimits, Route, Routing, WeightedService};
 use bbv_core::routing_page::{PageResult, RecentRoutings, RoutingTransfer};
 use bbv_core::view::{Topic, Update, View, ViewChange};
@@ -20,6 +22,8 @@
         target: 1,
         attempts,
         rank: 0,
+        homes: Homes::default(),
+        keyless: false,
     }
 }
 
@@ -140,3 +144,34 @@
     });
     assert!(done, "no routing after 256 pages");
 }
+
+fn organisation(number: usize, key: &str) -> Arc<Organisation> {
+    Arc::new(Organisation {
+        name: format!("organisation-{number}").into(),
+        keys: [key.to_owned()].into(),
+        rank: None,
+        quota: None,
+        homes: Homes::default(),
+    })
+}
+
+#[test]
+fn organisations_spread_as_changes_and_revoked_keys_are_gone() {
+    let list =
+        |key: &str, count| (0..count).map(|n| organisation(n, &format!("{key}{n}"))).collect();
+    let old = Routing::new(3, LIMITS, BTreeMap::new(), Vec::new());
+    let old = Arc::new(old.with_organisations(list("a", 3)));
+    let mut changed: Vec<Arc<Organisation>> = list("a", 2);
+    changed[1] = organisation(1, "b");
+    let new = Routing::new(4, LIMITS, BTreeMap::new(), Vec::new()).with_organisations(changed);
+    let changes = new.changes_from(Some(&old));
+    assert_eq!(changes.len(), 2, "one organisation changed and one was removed: {changes:?}");
+    let received = Routing::from_changes(Some(&old), 4, LIMITS, BTreeMap::new(), changes);
+    assert_eq!(received, new);
+    assert!(
+        received.organisations.find("a1").is_none() && received.organisations.find("a2").is_none()
+    );
+    assert!(
+        received.organisations.find("b").is_some() && received.organisations.find("a0").is_some()
+    );
+}
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -4,6 +4,7 @@
 use std::hash::Hasher;
 use std::sync::Arc;
 
+use bbv_core::homes::Homes;
 use bbv_core::route::{Name, Route, Routing};
 use bbv_core::units::{MS, Micros, SEC};
 use bbv_core::view::Topic;
@@ -36,6 +37,10 @@
     pub route: Arc<Route>,
     /// Service that the request is sent to.
     pub service: Name,
+    /// Rank; 0 is served first.
+    pub rank: u8,
+    /// Regions in which it may run, and to whose nodes its body may be sent.
+    pub homes: Homes,
     /// Attempt id set by the caller.
     pub attempt_id: HeaderValue,
     /// Whether a request that runs on the upstream of this node made it. It is worth what that
@@ -137,8 +142,7 @@
                 CallOutcome::refused("stopping", DEFAULT_RETRY_AFTER)
             }
             Ok(call) => {
-                guard.labels =
-                    Some(RouteLabels { service: call.service.clone(), rank: call.route.rank });
+                guard.labels = Some(RouteLabels { service: call.service.clone(), rank: call.rank });
                 self.send(call).await
             }
             Err(outcome) => outcome,
@@ -228,9 +232,12 @@
             (state.splitter.next(&route), state.local.is_call(&attempt_id))
         };
         let routing_version = routing.version;
+        let (rank, homes) = (route.rank, route.homes.clone());
         Ok(Call {
             route,
             service,
+            rank,
+            homes,
             attempt_id,
             nested,
             arrived,
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -195,7 +195,7 @@
         let unknown = UpstreamStats::default();
         let mut best: Option<(f64, Choice)> = None;
         for (id, up) in state.index.usable(&call.service) {
-            if tried.contains(id) {
+            if tried.contains(id) || !call.homes.allows(self.settings.region(&up.zone)) {
                 continue;
             }
             let local = up.addr == self.settings.upstream;
@@ -288,7 +288,7 @@
             instance: choice.instance.to_string(),
             timeout: call.deadline.saturating_sub(now + one_way),
             target: target.saturating_sub(now + one_way),
-            rank: call.route.rank,
+            rank: call.rank,
             service_time,
             accept_slow,
             fingerprint: call.fingerprint,
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a mesh node, read and validated from YAML.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bbv_core::catalogue::{ConfigErrors, YamlReader, read_yaml};
@@ -14,6 +15,8 @@
     pub node: String,
     /// Availability zone.
     pub zone: String,
+    /// Regions of the availability zones; empty if the settings name none.
+    pub regions: BTreeMap<String, String>,
     /// Service of the upstream beside the node.
     pub service: String,
     /// Address of the upstream beside the node.
@@ -40,6 +43,11 @@
     pub request_memory: usize,
     /// Maximum number of bytes that the bodies of responses take at once.
     pub response_memory: usize,
+    /// Time within which a key that was taken away is refused by every node, whether it is in touch
+    /// with the store or not; `None` if nodes that are not in touch may accept keys.
+    pub revocation: Option<Micros>,
+    /// Window in which the quotas of organisations hold.
+    pub quota_window: Micros,
     /// Additional address for metrics, if any.
     pub metrics: Option<SocketAddr>,
 }
@@ -58,6 +66,9 @@
 const BYTES_PER_MB: f64 = 1_048_576.0;
 const MAX_RETRY_BURST: f64 = 1e6;
 const MAX_RETRY_WINDOW_S: f64 = 3_600.0;
+const MAX_REVOKE_S: f64 = 3_600.0;
+const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
+const MAX_QUOTA_WINDOW_S: f64 = 3_600.0;
 
 fn parse_addr(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{text} is not an IP address with a port"))
@@ -88,6 +99,12 @@
     }
 }
 
+/// Reads the region of each zone.
+fn regions(root: &mut YamlReader<'_>) -> BTreeMap<String, String> {
+    let zones = root.optional_list("zones", |zone| (zone.text("name"), zone.text("region")));
+    zones.into_iter().collect()
+}
+
 fn micros(seconds: f64) -> Micros {
     (seconds * SEC as f64) as Micros
 }
@@ -108,6 +125,7 @@
         Settings {
             node: String::new(),
             zone: String::new(),
+            regions: BTreeMap::new(),
             service: String::new(),
             upstream: unset,
             callers: unset,
@@ -121,6 +139,8 @@
             zone_kb_cost: DEFAULT_ZONE_KB_COST,
             request_memory: (DEFAULT_REQUEST_MEMORY_MB * BYTES_PER_MB) as usize,
             response_memory: (DEFAULT_RESPONSE_MEMORY_MB * BYTES_PER_MB) as usize,
+            revocation: None,
+            quota_window: micros(DEFAULT_QUOTA_WINDOW_S),
             metrics: None,
         }
     }
@@ -138,6 +158,7 @@
         read_yaml(text, |root| Settings {
             node: root.text("node"),
             zone: root.text("zone"),
+            regions: regions(root),
             service: root.text("service"),
             upstream: required_addr(root, "upstream"),
             callers: required_addr(root, "callers"),
@@ -153,10 +174,21 @@
                 .unwrap_or(DEFAULT_ZONE_KB_COST),
             request_memory: memory(root, "request_memory_mb", DEFAULT_REQUEST_MEMORY_MB),
             response_memory: memory(root, "response_memory_mb", DEFAULT_RESPONSE_MEMORY_MB),
+            revocation: root.optional_float("revoke_s", 0.0..=MAX_REVOKE_S).map(micros),
+            quota_window: time(root, "quota_window_s", MAX_QUOTA_WINDOW_S, DEFAULT_QUOTA_WINDOW_S),
             metrics: optional_addr(root, "metrics"),
         })
     }
 
+    /// Returns the region of `zone`, if the settings name it.
+    ///
+    /// ```
+    /// assert_eq!(bbv_mesh::settings::Settings::default().region("z"), None);
+    /// ```
+    pub fn region(&self, zone: &str) -> Option<&str> {
+        self.regions.get(zone).map(String::as_str)
+    }
+
     /// Reads the settings file at `path`.
     ///
     /// ```
