Share usage text, flags and exit codes between the programs

Measured: doc tests of bbv-cli pass; bbv-trial and bbv-soak run by hand with wrong arguments print error and usage and exit as before.

--- a/crates/mesh/src/cmd/check.rs
+++ b/crates/mesh/src/cmd/check.rs
@@ -6,6 +6,7 @@
 
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
-    let [path] = args else { return super::usage() };
-    super::report(Settings::load(path).map(|settings| println!("{path}: ok, {}", settings.node)))
+    let [path] = args else { return super::PROGRAM.reject() };
+    super::PROGRAM
+        .report(Settings::load(path).map(|settings| println!("{path}: ok, {}", settings.node)))
 }
--- a/crates/mesh/src/cmd/run.rs
+++ b/crates/mesh/src/cmd/run.rs
@@ -15,10 +15,10 @@
 
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
-    let [path] = args else { return super::usage() };
+    let [path] = args else { return super::PROGRAM.reject() };
     let result = start(path);
     bbv_mesh::logs::flush();
-    super::report(result)
+    super::PROGRAM.report(result)
 }
 
 fn start(path: &str) -> Result<()> {
--- a/crates/mesh/src/main.rs
+++ b/crates/mesh/src/main.rs
@@ -9,7 +9,7 @@
     match args.split_first() {
         Some((name, rest)) if name == "run" => cmd::run::run(rest),
         Some((name, rest)) if name == "check" => cmd::check::run(rest),
-        Some((name, _)) if name == "--help" || name == "-h" => cmd::help(),
-        _ => cmd::usage(),
+        Some((name, _)) if name == "--help" || name == "-h" => cmd::PROGRAM.help(),
+        _ => cmd::PROGRAM.reject(),
     }
 }
--- a/crates/node/src/cmd/check.rs
+++ b/crates/node/src/cmd/check.rs
@@ -7,8 +7,8 @@
 
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
-    let [path] = args else { return super::usage() };
-    super::report(load(path).map(|settings| println!("{path}: ok, {}", settings.vm)))
+    let [path] = args else { return super::PROGRAM.reject() };
+    super::PROGRAM.report(load(path).map(|settings| println!("{path}: ok, {}", settings.vm)))
 }
 
 /// Reads the settings at `path`.
--- a/crates/node/src/cmd/run.rs
+++ b/crates/node/src/cmd/run.rs
@@ -19,14 +19,14 @@
 
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
-    let [path] = args else { return super::usage() };
+    let [path] = args else { return super::PROGRAM.reject() };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format(|out, record| {
             use std::io::Write;
             writeln!(out, "level={} {}", record.level(), record.args())
         })
         .init();
-    super::report(super::check::load(path).and_then(start))
+    super::PROGRAM.report(super::check::load(path).and_then(start))
 }
 
 fn start(settings: Settings) -> Result<()> {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,19 +4,23 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use bbv_cli::{Program, number};
 use bbv_soak::history::MAX_ROUTES;
 use bbv_soak::run::{RunOptions, run};
 use eyre::{Result, WrapErr, eyre};
 use getopts::Options;
 
-const USAGE: &str = "\
+const PROGRAM: Program = Program {
+    name: "bbv-soak",
+    usage: "\
 bbv-soak: runs bbv-mesh nodes under seeded faults and checks their guarantees from outside
 
 usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--routes N]
     [--zones N] [--site] [--folder PATH]
 
 exit codes: 0 all guarantees held, 1 one was violated or a run failed, 2 bad usage
-";
+",
+};
 
 fn main() -> ExitCode {
     let mut options = Options::new();
@@ -30,33 +34,21 @@
     options.optopt("", "zones", "number of zones, up to 5", "N");
     options.optflag("", "site", "links like a deployment's, and outages of the whole store");
     options.optopt("", "folder", "folder for settings and logs", "PATH");
-    let matches = match options.parse(std::env::args().skip(1)) {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let matches = match PROGRAM.parse(&options, &args) {
         Ok(matches) => matches,
-        Err(error) => {
-            eprintln!("bbv-soak: {error}\n\n{USAGE}");
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
     if matches.opt_present("help") {
-        print!("{USAGE}");
-        return ExitCode::SUCCESS;
+        return PROGRAM.help();
     }
     match run_seeds(&matches) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
-        Err(error) => {
-            eprintln!("bbv-soak: {error:#}");
-            ExitCode::FAILURE
-        }
+        Err(error) => PROGRAM.report(Err(error)),
     }
 }
 
-fn number(matches: &getopts::Matches, name: &str, default: u64) -> Result<u64> {
-    let text = matches.opt_str(name);
-    let Some(text) = text else { return Ok(default) };
-    text.parse().wrap_err_with(|| format!("could not parse --{name} {text}"))
-}
-
 fn run_seeds(matches: &getopts::Matches) -> Result<bool> {
     let program = matches.opt_str("program").ok_or_else(|| eyre!("option --program is missing"))?;
     let folder = matches.opt_str("folder").unwrap_or_else(|| "target/soak".to_owned());
--- a/crates/trial/src/cmd/capacity.rs
+++ b/crates/trial/src/cmd/capacity.rs
@@ -34,9 +34,9 @@
 /// Runs the subcommand.
 pub fn run(args: &[String]) -> ExitCode {
     if !args.is_empty() {
-        return super::usage();
+        return super::PROGRAM.reject();
     }
-    super::report(measure_all())
+    super::PROGRAM.report(measure_all())
 }
 
 /// Returns the resident memory of this process in bytes.
--- a/crates/trial/src/cmd/demo.rs
+++ b/crates/trial/src/cmd/demo.rs
@@ -42,15 +42,15 @@
     options.optopt("", "seconds", "duration in seconds", "N");
     options.optopt("", "seed", "seed", "N");
     options.optflag("", "json", "print JSON");
-    match super::parse(&options, args) {
-        Ok(matches) => super::report(start(&matches)),
+    match super::PROGRAM.parse(&options, args) {
+        Ok(matches) => super::PROGRAM.report(start(&matches)),
         Err(code) => code,
     }
 }
 
 fn start(matches: &Matches) -> Result<()> {
-    let seconds = super::number(matches, "seconds", 10)?.max(1);
-    let seed = super::number(matches, "seed", 1)?;
+    let seconds = bbv_cli::number(matches, "seconds", 10)?.max(1);
+    let seed = bbv_cli::number(matches, "seed", 1)?;
     let json = matches.opt_present("json");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let summary = runtime.block_on(demo(seconds, seed, json))?;
--- a/crates/trial/src/cmd/load.rs
+++ b/crates/trial/src/cmd/load.rs
@@ -33,8 +33,8 @@
     options.optopt("", "open", "calls kept in flight, instead of a rate", "N");
     options.optopt("", "seconds", "duration in seconds", "N");
     options.optflag("", "once", "send calls that may run at most once");
-    match super::parse(&options, args) {
-        Ok(matches) => super::report(start(&matches)),
+    match super::PROGRAM.parse(&options, args) {
+        Ok(matches) => super::PROGRAM.report(start(&matches)),
         Err(code) => code,
     }
 }
@@ -47,9 +47,9 @@
 async fn measure(matches: &Matches) -> Result<()> {
     let url = matches.opt_str("url").ok_or_else(|| eyre!("could not start: --url is missing"))?;
     let path = matches.opt_str("path").unwrap_or_else(|| "/site-history".to_owned());
-    let seconds = super::number(matches, "seconds", 10)?;
-    let rate = super::number(matches, "rate", 200)? as f64;
-    let open = super::number(matches, "open", 0)? as usize;
+    let seconds = bbv_cli::number(matches, "seconds", 10)?;
+    let rate = bbv_cli::number(matches, "rate", 200)? as f64;
+    let open = bbv_cli::number(matches, "open", 0)? as usize;
     let idempotent = !matches.opt_present("once");
     let new_generator = |base: String, idempotent| {
         LoadGenerator::new(Target { base_urls: vec![base], path: path.clone(), idempotent })
--- a/crates/trial/src/cmd/run.rs
+++ b/crates/trial/src/cmd/run.rs
@@ -17,11 +17,11 @@
     options.optopt("", "seeds", "number of seeds", "N");
     options.optopt("", "policy", "balancing policy", "NAME");
     options.optflag("", "json", "print JSON");
-    let matches = match super::parse(&options, args) {
+    let matches = match super::PROGRAM.parse(&options, args) {
         Ok(matches) => matches,
         Err(code) => return code,
     };
-    super::report(run_all(&matches))
+    super::PROGRAM.report(run_all(&matches))
 }
 
 fn run_all(matches: &Matches) -> Result<()> {
@@ -31,8 +31,8 @@
     let plan = load_plan(path)?;
     let policy = matches.opt_str("policy").unwrap_or_else(|| "bluebellvale".to_owned());
     let policy = Policy::parse(&policy).map_err(|error| eyre!(error))?;
-    let first = super::number(matches, "seed", 1)?;
-    let count = super::number(matches, "seeds", 1)?;
+    let first = bbv_cli::number(matches, "seed", 1)?;
+    let count = bbv_cli::number(matches, "seeds", 1)?;
     for seed in first..first + count {
         let report = simulation::run(&plan, policy, seed);
         if matches.opt_present("json") {
--- a/crates/trial/src/cmd/stand.rs
+++ b/crates/trial/src/cmd/stand.rs
@@ -31,8 +31,8 @@
     options.optopt("", "nodes", "upstreams per service", "N");
     options.optopt("", "port", "first port", "N");
     options.optopt("", "median-us", "median service time in microseconds", "N");
-    match super::parse(&options, args) {
-        Ok(matches) => super::report(start(&matches)),
+    match super::PROGRAM.parse(&options, args) {
+        Ok(matches) => super::PROGRAM.report(start(&matches)),
         Err(code) => code,
     }
 }
@@ -85,9 +85,9 @@
     let text = fs::read_to_string(&path).wrap_err_with(|| format!("could not read {path}"))?;
     let catalogue = Catalogue::parse(&text)
         .map_err(|errors| eyre!("could not parse catalogue {path}: {errors}"))?;
-    let first_port = super::number(matches, "port", 18_000)? as u16;
-    let nodes = super::number(matches, "nodes", 2)? as u32;
-    let median = super::number(matches, "median-us", 1_000)?;
+    let first_port = bbv_cli::number(matches, "port", 18_000)? as u16;
+    let nodes = bbv_cli::number(matches, "nodes", 2)? as u32;
+    let median = bbv_cli::number(matches, "median-us", 1_000)?;
     fs::create_dir_all(&folder).wrap_err_with(|| format!("could not create {folder}"))?;
     let platform = SocketAddr::from(([127, 0, 0, 1], first_port));
     let layout = Layout { folder, first_port, platform };
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -12,7 +12,7 @@
         Some((name, rest)) if name == "load" => cmd::load::run(rest),
         Some((name, rest)) if name == "stand" => cmd::stand::run(rest),
         Some((name, rest)) if name == "run" => cmd::run::run(rest),
-        Some((name, _)) if name == "--help" || name == "-h" => cmd::help(),
-        _ => cmd::usage(),
+        Some((name, _)) if name == "--help" || name == "-h" => cmd::PROGRAM.help(),
+        _ => cmd::PROGRAM.reject(),
     }
 }
