Check keys of organisations, prove the routing and grant quotas

Change: an ingress judges the key, replaces it by the organisation's name, refuses keys while its routing is not proven recent, and takes a token from a granter for each request of an organisation with a quota.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,9 +6,10 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
-//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
-//!   [`view`].
+//!   [`bucket`], [`claims`], [`credential`], [`freshness`], [`granter`], [`history`], [`homes`],
+//!   [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`shares`], [`slow_period`]
+//!   and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
@@ -19,13 +20,17 @@
 pub mod attempt;
 pub mod balancer;
 pub mod body_budget;
+pub mod bucket;
 pub mod catalogue;
 pub mod chart;
+pub mod claims;
 mod cold;
+pub mod credential;
 pub mod documents;
 pub mod fleet;
 pub mod freshness;
 pub mod gate;
+pub mod granter;
 pub mod history;
 pub mod homes;
 pub mod id;
@@ -51,6 +56,7 @@
 pub mod route;
 pub mod routing_change;
 pub mod routing_page;
+pub mod shares;
 pub mod slow_period;
 pub mod ticket;
 pub mod token_budget;
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -178,6 +178,17 @@
         !self.last_seen.is_empty()
     }
 
+    /// Iterates over the other nodes of the zone that are known to read the platform.
+    ///
+    /// ```
+    /// let mut readers = bbv_core::readers::Readers::new(1, "z");
+    /// readers.record_heartbeat(0, 2, true);
+    /// assert!(readers.heard().eq([2]));
+    /// ```
+    pub fn heard(&self) -> impl Iterator<Item = u64> {
+        self.last_seen.keys().copied()
+    }
+
     /// Returns whether a failed call of this node has not been announced yet, and records that it is.
     ///
     /// ```
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -19,10 +19,14 @@
     CallUnrouted,
     /// A connection ended with an error.
     ConnectionEnded,
+    /// A node did not answer a request for a token of an organisation's quota.
+    GranterSilent,
     /// A request completed, was refused or failed at a gate.
     GateEnded,
     /// An item of the store could not be decoded.
     ItemUnreadable,
+    /// The node began or ceased to accept keys.
+    KeysAccepted,
     /// Lines of one kind exceeded the rate limit and were not written.
     Limited,
     /// Metrics could not be encoded.
@@ -35,6 +39,8 @@
     OutageEnded,
     /// Changes could not be fetched from another node or encoded for one.
     PullFailed,
+    /// The node grants quotas of other organisations than before.
+    QuotasAssigned,
     /// The node began or ceased to read the store for its zone.
     ReaderChanged,
     /// Settings were read again.
@@ -68,20 +74,23 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 28] = [
+pub const EVENTS: [Event; 31] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
     Event::CallUnrouted,
     Event::ConnectionEnded,
+    Event::GranterSilent,
     Event::GateEnded,
     Event::ItemUnreadable,
+    Event::KeysAccepted,
     Event::Limited,
     Event::MetricsFailed,
     Event::NoticeFailed,
     Event::ProbeFailed,
     Event::OutageEnded,
     Event::PullFailed,
+    Event::QuotasAssigned,
     Event::ReaderChanged,
     Event::Reloaded,
     Event::Started,
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -56,6 +56,8 @@
     lost: bool,
     /// Whether the last call was answered.
     reachable: bool,
+    /// Time since the start of the VM at which the latest call began.
+    asked_at: Micros,
 }
 
 fn log_faults(changes: &Changes) {
@@ -152,6 +154,7 @@
             listed: true,
             lost: false,
             reachable: false,
+            asked_at: 0,
         };
         loop {
             let now = self.now();
@@ -210,8 +213,9 @@
         let after = self.revision(topic);
         // The first call does not wait for changes, so it shows at once whether the store is
         // reachable.
-        let wait = if follower.reachable { WATCH_TIMEOUT } else { Duration::ZERO };
+        let wait = if follower.reachable { self.watch_timeout(topic) } else { Duration::ZERO };
         let asked = self.now();
+        follower.asked_at = self.timer.since_boot();
         let result = if follower.listed {
             follower.store.watch(topic, after, wait).await
         } else {
@@ -241,6 +245,12 @@
         }
     }
 
+    /// Returns the longest time for which a watch of `topic` waits for changes.
+    fn watch_timeout(&self, topic: Topic) -> Duration {
+        let limit = self.watch_limit().filter(|_| topic == Topic::Control);
+        limit.map_or(WATCH_TIMEOUT, |limit| WATCH_TIMEOUT.min(Duration::from_micros(limit)))
+    }
+
     /// Records that the store has answered a call that began at `asked`. If that ends an outage,
     /// upstreams whose entries have expired get the time to register again.
     fn record_answer(&self, asked: Micros) {
@@ -291,6 +301,7 @@
         }
         follower.backoff = MIN_BACKOFF;
         follower.reachable = true;
+        let told = changes.through;
         if std::mem::replace(&mut follower.listed, true) {
             self.apply_changes(topic, after, changes.through, changes.changes);
         } else {
@@ -300,6 +311,9 @@
         let through = state.view.revision(topic);
         let now = self.now();
         state.knowledge(topic).confirm(now, asked, through);
+        if topic == Topic::Control && through >= told {
+            state.proof.confirm(follower.asked_at);
+        }
     }
 
     /// Records a failed call; returns the delay before the next one.
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bbv_core::homes::Homes;
+use bbv_core::organisation::Organisation;
 use bbv_core::route::{Name, Route, Routing};
 use bbv_core::units::{MS, Micros, SEC};
 use bbv_core::view::Topic;
@@ -18,6 +19,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::body::{self, BodyError};
+use crate::credential;
 use crate::event::{self, Event};
 use crate::head_limits;
 use crate::metrics::{ResponseSource, RouteLabels};
@@ -41,6 +43,8 @@
     pub rank: u8,
     /// Regions in which it may run, and to whose nodes its body may be sent.
     pub homes: Homes,
+    /// Organisation that sent it, if it needs a key.
+    pub organisation: Option<Arc<Organisation>>,
     /// Attempt id set by the caller.
     pub attempt_id: HeaderValue,
     /// Whether a request that runs on the upstream of this node made it. It is worth what that
@@ -143,7 +147,7 @@
             }
             Ok(call) => {
                 guard.labels = Some(RouteLabels { service: call.service.clone(), rank: call.rank });
-                self.send(call).await
+                self.send_within_quota(call).await
             }
             Err(outcome) => outcome,
         };
@@ -201,9 +205,9 @@
         request: Request<Incoming>,
         arrived: Micros,
     ) -> Result<Call, CallOutcome> {
-        let routing = self.lock().routing().cloned();
-        let routing =
-            routing.ok_or_else(|| CallOutcome::refused("no-routing", DEFAULT_RETRY_AFTER))?;
+        let (routing, standing) = self
+            .routing_in_force()
+            .ok_or_else(|| CallOutcome::refused("no-routing", DEFAULT_RETRY_AFTER))?;
         let (mut head, body) = request.into_parts();
         if head_limits::field_bytes(&head.headers) > routing.limits.head {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -216,6 +220,8 @@
         let attempt_id = head.headers.get(header::ATTEMPT_ID).cloned();
         let attempt_id = attempt_id
             .ok_or_else(|| CallOutcome::error(StatusCode::BAD_REQUEST, "no-attempt-id"))?;
+        let organisation = self.check_key(&routing, &route, &head, standing);
+        let organisation = organisation.map_err(|outcome| *outcome)?;
         let timeout = header::deadline(&head.headers);
         let timeout = timeout.map_or(DEFAULT_TIMEOUT, |timeout| timeout.as_micros() as Micros);
         let deadline = arrived + timeout.min(route.timeout);
@@ -223,6 +229,7 @@
         let fingerprint = compute_fingerprint(&head, &body);
         head.headers.remove(CONTENT_LENGTH);
         response::strip_hop_headers(&mut head.headers);
+        credential::replace_key(&mut head.headers, organisation.as_deref());
         let caller = HeaderValue::from_str(&self.settings.service);
         let caller = caller
             .map_err(|_| CallOutcome::error(StatusCode::INTERNAL_SERVER_ERROR, "service-name"))?;
@@ -232,12 +239,16 @@
             (state.splitter.next(&route), state.local.is_call(&attempt_id))
         };
         let routing_version = routing.version;
-        let (rank, homes) = (route.rank, route.homes.clone());
+        let rank = organisation.as_ref().and_then(|known| known.rank).unwrap_or(route.rank);
+        let homes = organisation
+            .as_ref()
+            .map_or_else(|| route.homes.clone(), |known| route.homes.and(&known.homes));
         Ok(Call {
             route,
             service,
             rank,
             homes,
+            organisation,
             attempt_id,
             nested,
             arrived,
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -27,6 +27,14 @@
     pub probes: IntCounter,
     /// Load notices sent.
     pub notices: IntCounter,
+    /// Requests refused for their keys, by cause.
+    pub keys_refused: IntCounterVec,
+    /// Tokens of quotas that requests needed, by result.
+    pub quota_claims: IntCounterVec,
+    /// Questions to granters of quotas.
+    pub quota_asks: IntCounter,
+    /// Time since the store is proven to have had no newer routing, in seconds.
+    pub proof_age: Gauge,
     /// Panics of background tasks.
     pub panics: IntCounter,
     /// Version of the routing in force.
@@ -143,6 +151,17 @@
             store_calls: counters("bbv_store_calls_total", "Calls to the store.", "result"),
             probes: counter("bbv_probes_total", "Health checks of the upstream."),
             notices: counter("bbv_notices_total", "Load notices sent."),
+            keys_refused: counters(
+                "bbv_keys_refused_total",
+                "Requests refused for their keys.",
+                "why",
+            ),
+            quota_claims: counters("bbv_quota_claims_total", "Tokens needed of quotas.", "result"),
+            quota_asks: counter("bbv_quota_asks_total", "Questions to granters of quotas."),
+            proof_age: seconds(
+                "bbv_proof_age_seconds",
+                "Age of the proof that the routing is newest.",
+            ),
             panics: counter("bbv_panics_total", "Panics of background tasks."),
             routing_version: gauge("bbv_routing_version", "Version of the routing in force."),
             limit: gauge("bbv_limit", "Concurrent requests allowed at the upstream."),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -174,7 +174,7 @@
 
     /// Returns whether callers may send requests.
     pub fn ready(&self) -> bool {
-        !self.stopping() && self.lock().routing().is_some()
+        !self.stopping() && self.lock().routing().is_some() && !self.awaits_proof()
     }
 
     /// Returns the address of the gate of the upstream at `upstream`.
@@ -234,6 +234,7 @@
 
     /// Updates the gauges.
     pub(crate) fn update_gauges(&self) {
+        self.update_proof_gauge();
         let now = self.now();
         let state = self.lock();
         let version = state.view.routing.as_ref().map_or(0, |routing| routing.version);
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::datagram::Datagram;
 use crate::event::{self, Event};
 use crate::message::Known;
 use crate::node::{Node, RECENT_INGRESS_TTL};
@@ -299,12 +300,11 @@
         let mut bytes = [0_u8; MAX_NOTICE_BYTES];
         loop {
             match socket.recv_from(&mut bytes).await {
-                Ok((len, from)) => match postcard::from_bytes::<Notice>(&bytes[..len]) {
-                    Ok(notice) => self.apply_notice(from.ip(), &notice),
-                    Err(error) => {
+                Ok((len, from)) => {
+                    if let Err(error) = self.apply_received(&socket, from.ip(), &bytes[..len]) {
                         event::warn(Event::NoticeFailed, &[("from", &from), ("why", &error)]);
                     }
-                },
+                }
                 Err(error) => {
                     event::warn(Event::NoticeFailed, &[("why", &error)]);
                     self.timer.sleep(TICK_INTERVAL).await;
@@ -313,6 +313,20 @@
         }
     }
 
+    /// Decodes and applies a notice or another datagram.
+    fn apply_received(
+        self: &Arc<Self>,
+        socket: &UdpSocket,
+        from: IpAddr,
+        bytes: &[u8],
+    ) -> Result<(), postcard::Error> {
+        match Datagram::decode(bytes) {
+            Some(datagram) => self.apply_datagram(socket, from, datagram?),
+            None => self.apply_notice(from, &postcard::from_bytes(bytes)?),
+        }
+        Ok(())
+    }
+
     fn apply_notice(self: &Arc<Self>, from: IpAddr, notice: &Notice) {
         let now = self.now();
         {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -101,7 +101,9 @@
     supervise("probe", &node, Node::probe);
     let notices = Arc::clone(&socket);
     supervise("send-notices", &node, move |node| node.send_notices(Arc::clone(&notices)));
-    supervise("receive-notices", &node, move |node| node.receive_notices(Arc::clone(&socket)));
+    let receiver = Arc::clone(&socket);
+    supervise("receive-notices", &node, move |node| node.receive_notices(Arc::clone(&receiver)));
+    supervise("ask-proofs", &node, move |node| node.ask_proofs(Arc::clone(&socket)));
     let (name, zone, service) = (&settings.node, &settings.zone, &settings.service);
     event::info(Event::Started, &[("node", name), ("zone", zone), ("service", service)]);
     Ok(RunningNode { node, close_sender, connections })
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -31,6 +31,8 @@
 use crate::knowledge::{Knowledge, StoreCall};
 use crate::message::Known;
 use crate::notice::vm_of;
+use crate::proof::Proof;
+use crate::quota::Quotas;
 use crate::settings::Settings;
 
 /// Slots assumed until the upstream's entry is known.
@@ -151,6 +153,10 @@
     pub logged_reader: bool,
     /// Outage of the store, as seen by this node or told by others of its zone.
     pub outage: Outage,
+    /// What is proven of the routing, for keys that may have been taken away.
+    pub proof: Proof,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Random number generator for choices.
     pub rng: SmallRng,
 }
@@ -188,6 +194,8 @@
             readers: Readers::new(u64::from(vm), &settings.zone),
             logged_reader: false,
             outage: Outage::default(),
+            proof: Proof::default(),
+            quotas: Quotas::default(),
             rng,
         }
     }
@@ -303,6 +311,7 @@
         let nodes = self.index.vms().filter(|(_, vm_zone)| &***vm_zone == zone).count();
         self.readers.set_zone_size(nodes);
         self.apply_local(settings);
+        self.assign_quotas(now, settings);
         let upstreams = &self.view.upstreams;
         self.upstream_stats.retain(|id, _| upstreams.contains_key(id));
     }
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -7,6 +7,9 @@
 use bbv_core::units::Micros;
 use tokio::time::Instant;
 
+const MICROS_PER_S: Micros = 1_000_000;
+const NANOS_PER_MICRO: Micros = 1_000;
+
 /// Clock and timers shared by all parts of a node.
 #[derive(Clone, Debug)]
 pub struct Timer {
@@ -81,6 +84,21 @@
         (self.start.elapsed().as_nanos() / u128::from(self.unit_ns)) as Micros
     }
 
+    /// Returns the time since the VM was started, which also counts the time for which the VM was
+    /// suspended; [`Timer::now`] stands still meanwhile.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().enable_time().build()?.block_on(async {
+    /// let timer = bbv_timer::Timer::real();
+    /// assert!(timer.since_boot() <= timer.since_boot());
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn since_boot(&self) -> Micros {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        time.tv_sec as Micros * MICROS_PER_S + time.tv_nsec as Micros / NANOS_PER_MICRO
+    }
+
     /// Freezes the timer until `until`, which delays everything that waits on it, to simulate a
     /// paused process.
     pub fn freeze(&self, until: Micros) {
