--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -6,8 +6,20 @@
 use crate::organisation::Quota;
 use crate::units::{Micros, SEC};
 
-/// Tokens that a bucket holds at least, so that a low rate can still pay for whole requests.
-pub const MIN_CAPACITY: f64 = 2.0;
+/// Tokens that a bucket holds beyond its share of the burst. Requests take whole tokens, so the fractions
+/// that a split leaves in each bucket would be lost otherwise, and a low rate could pay for no request.
+const ROUNDING_TOKENS: f64 = 2.0;
+/// Such tokens of all shares together, as long as there is one a share.
+const MAX_ROUNDING_TOKENS: f64 = 6.0;
+
+/// Returns the tokens that each of `shares` buckets holds beyond its share of the burst.
+///
+/// ```
+/// assert_eq!([1, 3, 6, 14].map(bbv_core::bucket::rounding), [2.0, 2.0, 1.0, 1.0]);
+/// ```
+pub fn rounding(shares: usize) -> f64 {
+    (MAX_ROUNDING_TOKENS / shares.max(1) as f64).clamp(1.0, ROUNDING_TOKENS)
+}
 
 /// Tokens of one share of a quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -20,7 +32,8 @@
 }
 
 impl Bucket {
-    /// Creates an empty bucket for one of `shares` equal shares of `quota`.
+    /// Creates an empty bucket for one of `shares` equal shares of `quota`, which gets tokens from `now` on;
+    /// `now` may lie ahead.
     ///
     /// ```
     /// use bbv_core::{bucket::Bucket, organisation::Quota};
@@ -43,9 +56,10 @@
     /// ```
     pub fn set_quota(&mut self, now: Micros, quota: Quota, shares: usize) {
         self.refill(now);
+        let rounding = rounding(shares);
         let shares = shares.max(1) as f64;
         self.rate = quota.rate / shares;
-        self.capacity = (quota.burst / shares).max(MIN_CAPACITY);
+        self.capacity = quota.burst / shares + rounding;
         self.tokens = self.tokens.min(self.capacity);
     }
 
@@ -79,7 +93,8 @@
     pub fn wait(&mut self, now: Micros) -> Micros {
         self.refill(now);
         let missing = (1.0 - self.tokens).max(0.0);
+        let idle = self.updated_at.saturating_sub(now);
         // A conversion to an integer saturates, also for a rate of zero.
-        (missing / self.rate * SEC as f64).ceil() as Micros
+        idle.saturating_add((missing / self.rate * SEC as f64).ceil() as Micros)
     }
 }
--- a/crates/core/src/granter.rs
+++ b/crates/core/src/granter.rs
@@ -1,7 +1,7 @@
 //! Granter of bbv-mesh: the buckets of the organisations whose quota a node grants in its zone.
 //!
-//! Two nodes may grant the same share for about a second, until both know the listing. A bucket
-//! that a node takes over starts empty, so that the excess is at most the rate times that second.
+//! Two nodes may take themselves for the granter of one share for about a second, until both know the
+//! listing. A bucket that a node takes over starts empty, and gets no tokens in that second.
 
 use std::collections::BTreeMap;
 
@@ -31,15 +31,21 @@
 
 impl Granter {
     /// Replaces the quotas that this node grants, each in one of `shares` equal shares. Buckets of
-    /// organisations that it granted before keep their tokens.
+    /// organisations that it granted before keep their tokens; others get tokens from `starts_at` on.
     ///
     /// ```
     /// use bbv_core::{granter::{Grant, Granter}, organisation::Quota};
     /// let mut granter = Granter::default();
-    /// granter.assign(0, vec![("o".into(), Quota { rate: 1.0, burst: 1.0 })], 1);
+    /// granter.assign(0, 0, vec![("o".into(), Quota { rate: 1.0, burst: 1.0 })], 1);
     /// assert_eq!(granter.grant(0, "o"), Grant::Empty(1_000_000));
     /// ```
-    pub fn assign(&mut self, now: Micros, quotas: Vec<(Name, Quota)>, shares: usize) {
+    pub fn assign(
+        &mut self,
+        now: Micros,
+        starts_at: Micros,
+        quotas: Vec<(Name, Quota)>,
+        shares: usize,
+    ) {
         let mut former = std::mem::take(&mut self.buckets);
         for (name, quota) in quotas {
             let bucket = match former.remove(&name) {
@@ -47,7 +53,7 @@
                     bucket.set_quota(now, quota, shares);
                     bucket
                 }
-                None => Bucket::new(now, quota, shares),
+                None => Bucket::new(starts_at, quota, shares),
             };
             self.buckets.insert(name, bucket);
         }
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -29,6 +29,12 @@
 const MAX_HEDGED_WAITS: u32 = 3;
 /// Age of proofs from which a node does not grant: a node that took its share over may know of it.
 const GRANT_TIME: Micros = 4 * SEC;
+/// Shortest time after which a request beyond the quota may come again.
+const MIN_RETRY_AFTER: Micros = 10 * MS;
+/// Time in which all nodes in touch learn a new listing.
+const TAKEOVER_DELAY: Micros = SEC;
+/// Time from its start within which a process learns the listing.
+const RESTART_TIME: Micros = 3 * SEC;
 /// Time for which a question to a granter is kept, so that a late token is not lost.
 const QUESTION_TTL: Micros = SEC;
 
@@ -81,7 +87,10 @@
             let grants = shares.is_granter(&organisation.name, own);
             grants.then(|| (organisation.name.clone(), quota))
         });
-        quotas.granter.assign(now, limited.collect(), shares.count());
+        // The VM that granted before may not know yet that it no longer does. A process that has just
+        // started takes over from its predecessor on this VM.
+        let takeover = if now < RESTART_TIME { 0 } else { TAKEOVER_DELAY };
+        quotas.granter.assign(now, now + takeover, limited.collect(), shares.count());
         (quotas.version, quotas.shares) = (routing.version, shares);
         event::info(
             Event::QuotasAssigned,
@@ -138,7 +147,7 @@
             return CallOutcome::refused("no-granter", DEFAULT_RETRY_AFTER);
         };
         self.count_grant("empty");
-        let mut outcome = CallOutcome::refused("over-quota", wait);
+        let mut outcome = CallOutcome::refused("over-quota", wait.max(MIN_RETRY_AFTER));
         *outcome.response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
         outcome
     }
