--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -60,7 +60,6 @@
         let shares = shares.max(1) as f64;
         self.rate = quota.rate / shares;
         self.capacity = quota.burst / shares + rounding;
-        self.tokens = self.tokens.min(self.capacity);
     }
 
     fn refill(&mut self, now: Micros) {
