Keep requests and retries at home, and send few notices between regions

Cause: a request could reach an upstream outside its homes after a routing that added them, a split part without an upstream at home refused its requests, and every node sent notices to senders of other regions.

Change: homes are checked at every send by the newest routing and at the gate by its own, regions out of reach are one event, bytes between regions have a cost of their own, and few nodes speak to other regions (docs/design/regions.md).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,8 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`distance`], [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`region_choice`], [`region_watch`],
 //!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
 //!   [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
@@ -22,6 +23,7 @@
 pub mod catalogue;
 pub mod chart;
 mod cold;
+pub mod distance;
 pub mod documents;
 pub mod fleet;
 pub mod freshness;
@@ -46,6 +48,8 @@
 pub mod ramp;
 pub mod readers;
 pub mod reconciliation;
+pub mod region_choice;
+pub mod region_watch;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod route;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -3,6 +3,7 @@
 //!
 //! They matter when nodes freeze, are cut off or lose power with requests on the way.
 
+use crate::distance::Distance;
 use crate::units::{MS, Micros};
 
 /// State of another node.
@@ -18,9 +19,11 @@
     silent_since: Option<Micros>,
 }
 
-/// Round-trip times assumed before the first measurement, within a zone and between zones.
+/// Round-trip times assumed before the first measurement, within a zone, between zones and between
+/// regions.
 const DEFAULT_RTT: Micros = MS;
 const DEFAULT_CROSS_ZONE_RTT: Micros = 10 * MS;
+const DEFAULT_CROSS_REGION_RTT: Micros = 50 * MS;
 /// Inverse of the weight of a new sample in the moving average of the round-trip time.
 const RTT_DIVISOR: u64 = 8;
 /// Time without a notice or response after which a node that got a request counts as
@@ -70,17 +73,21 @@
         };
     }
 
-    /// Returns the expected round-trip time to a node of the same or of another zone.
+    /// Returns the expected round-trip time to a node at `distance`.
     ///
     /// ```
+    /// use bbv_core::distance::Distance;
     /// let peer = bbv_core::peer::Peer::default();
-    /// assert!(peer.expected_rtt(true) < peer.expected_rtt(false));
+    /// assert!(peer.expected_rtt(Distance::Zone) < peer.expected_rtt(Distance::Remote));
     /// ```
-    pub fn expected_rtt(&self, same_zone: bool) -> Micros {
-        match self.rtt {
-            0 if same_zone => DEFAULT_RTT,
-            0 => DEFAULT_CROSS_ZONE_RTT,
-            rtt => rtt,
+    pub fn expected_rtt(&self, distance: Distance) -> Micros {
+        if self.rtt > 0 {
+            return self.rtt;
+        }
+        match distance {
+            Distance::Zone => DEFAULT_RTT,
+            Distance::Region => DEFAULT_CROSS_ZONE_RTT,
+            Distance::Remote => DEFAULT_CROSS_REGION_RTT,
         }
     }
 
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -37,6 +37,10 @@
     PullFailed,
     /// The node began or ceased to read the store for its zone.
     ReaderChanged,
+    /// A region that was out of reach has sent a message.
+    RegionBack,
+    /// A region is out of reach.
+    RegionLost,
     /// Settings were read again.
     Reloaded,
     /// The node started.
@@ -68,7 +72,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 28] = [
+pub const EVENTS: [Event; 30] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -83,6 +87,8 @@
     Event::OutageEnded,
     Event::PullFailed,
     Event::ReaderChanged,
+    Event::RegionBack,
+    Event::RegionLost,
     Event::Reloaded,
     Event::Started,
     Event::Stopped,
--- a/crates/mesh/src/exchange.rs
+++ b/crates/mesh/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use bbv_core::distance::Distance;
 use bbv_core::route::Name;
 use bbv_core::routing_page::{PageRequest, PageResult, RoutingPage};
 use bbv_core::units::{MS, Micros, Revision};
@@ -25,6 +26,9 @@
 /// Delay before a reader pulls changes from a peer, since its own watch usually delivers them
 /// first.
 const READER_PULL_DELAY: Micros = 100 * MS;
+/// Additional delay if only nodes of other regions are known to be newer, since the own region usually
+/// learns of changes itself.
+const REMOTE_PULL_DELAY: Micros = 300 * MS;
 /// Timeout of one request to a peer. A page takes 26 ms on a link of 10 Mbit/s that is idle.
 const PULL_TIMEOUT: Micros = 500 * MS;
 /// Range of the random delay before a pull per node of the fleet, and its upper bound.
@@ -120,7 +124,8 @@
     /// Pulls changes from peers with a newer revision until there is none.
     pub(crate) async fn pull_changes(self: Arc<Self>, topic: Topic) {
         let delay = if self.reads_store() { READER_PULL_DELAY } else { self.pull_delay() };
-        self.timer.sleep(delay).await;
+        let remote = if self.only_remote_is_newer(topic) { REMOTE_PULL_DELAY } else { 0 };
+        self.timer.sleep(delay + remote).await;
         while let Some(from) = self.newer_peer(topic) {
             self.pull_from(from, topic).await;
         }
@@ -148,6 +153,14 @@
         state.rng.random_range(0..=max_delay)
     }
 
+    /// Returns whether all peers that announced a newer revision are in other regions.
+    fn only_remote_is_newer(&self, topic: Topic) -> bool {
+        let mut state = self.lock();
+        let peers: Vec<IpAddr> = state.knowledge(topic).newer_peers.keys().copied().collect();
+        let is_remote = |ip: &IpAddr| state.distance(&self.settings, *ip) == Some(Distance::Remote);
+        !peers.is_empty() && peers.iter().all(is_remote)
+    }
+
     /// Takes a random peer that announced a newer revision; if there is none, this pull ends.
     fn newer_peer(&self, topic: Topic) -> Option<IpAddr> {
         let mut state = self.lock();
@@ -159,11 +172,13 @@
             Topic::Control => &mut state.control,
         };
         knowledge.newer_peers.retain(|_, revision| *revision > through);
-        // Traffic between zones costs more.
-        let zone = |ip: &IpAddr| state.index.zone(*ip).map(|zone| &**zone);
-        let near = knowledge.newer_peers.keys().filter(|ip| zone(ip) == Some(&self.settings.zone));
+        // Traffic between zones costs more, and more still between regions.
+        let distance = |ip: &IpAddr| {
+            state.index.zone(*ip).map_or(Distance::Region, |zone| self.settings.distance(zone))
+        };
+        let nearest = knowledge.newer_peers.keys().map(distance).min();
+        let near = knowledge.newer_peers.keys().filter(|ip| Some(distance(ip)) == nearest);
         let peer = near.copied().choose(rng);
-        let peer = peer.or_else(|| knowledge.newer_peers.keys().copied().choose(rng));
         match peer {
             Some(peer) => drop(knowledge.newer_peers.remove(&peer)),
             None => knowledge.pulling = false,
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -24,6 +24,7 @@
 use crate::body::{self, BodyError};
 use crate::completion::{Completion, GateResult};
 use crate::event::{self, Event};
+use crate::homes::NO_HOME_RETRY_AFTER;
 use crate::ingress::DEFAULT_RETRY_AFTER;
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::{Node, OpenRequest};
@@ -165,6 +166,10 @@
             Ok(permit) => permit,
             Err((outcome, retry_after)) => return Completion::refused(outcome, retry_after),
         };
+        if self.forbids(metadata, &head) {
+            let refused = GateOutcome::Refused(RefusalReason::Closed);
+            return Completion::refused(refused, NO_HOME_RETRY_AFTER);
+        }
         let started = self.now();
         let speed = u64::from(self.lock().admission.speed_pct());
         self.metrics.queue_time.observe((started - arrived) as f64 / 1e6);
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -227,12 +227,14 @@
         let caller = caller
             .map_err(|_| CallOutcome::error(StatusCode::INTERNAL_SERVER_ERROR, "service-name"))?;
         head.headers.insert(header::CALLER_SERVICE, caller);
+        let routing_version = routing.version;
+        let (rank, homes) = (route.rank, route.homes.clone());
         let (service, nested) = {
             let mut state = self.lock();
-            (state.splitter.next(&route), state.local.is_call(&attempt_id))
+            let service = state.splitter.next(&route);
+            let service = state.home_service(&self.settings, &route, &homes, service);
+            (service, state.local.is_call(&attempt_id))
         };
-        let routing_version = routing.version;
-        let (rank, homes) = (route.rank, route.homes.clone());
         Ok(Call {
             route,
             service,
@@ -279,7 +281,8 @@
     head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok())
 }
 
-fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
+/// Finds the route of a request.
+pub(crate) fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
     routing.find(host(head)?, head.uri.path()).cloned()
 }
 
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -27,6 +27,12 @@
     pub probes: IntCounter,
     /// Load notices sent.
     pub notices: IntCounter,
+    /// Requests sent to other regions.
+    pub region_sends: IntCounter,
+    /// Bytes of the bodies of these requests and of their responses.
+    pub region_bytes: IntCounter,
+    /// Number of regions out of reach.
+    pub regions_lost: IntGauge,
     /// Panics of background tasks.
     pub panics: IntCounter,
     /// Version of the routing in force.
@@ -143,6 +149,12 @@
             store_calls: counters("bbv_store_calls_total", "Calls to the store.", "result"),
             probes: counter("bbv_probes_total", "Health checks of the upstream."),
             notices: counter("bbv_notices_total", "Load notices sent."),
+            region_sends: counter("bbv_region_sends_total", "Requests sent to other regions."),
+            region_bytes: counter(
+                "bbv_region_bytes_total",
+                "Bytes of bodies sent to other regions and received from them.",
+            ),
+            regions_lost: gauge("bbv_regions_lost", "Number of regions out of reach."),
             panics: counter("bbv_panics_total", "Panics of background tasks."),
             routing_version: gauge("bbv_routing_version", "Version of the routing in force."),
             limit: gauge("bbv_limit", "Concurrent requests allowed at the upstream."),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -251,6 +251,7 @@
         metrics.running.set(i64::from(state.admission.running()));
         metrics.queued.set(i64::from(state.admission.queued()));
         metrics.cold.set(i64::from(state.admission.is_cold(now)));
+        metrics.regions_lost.set(state.region_watch.lost().count() as i64);
         metrics.report_age.set(seconds(state.local.reported_at));
     }
 
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -4,9 +4,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use bbv_core::distance::Distance;
 use bbv_core::id::Vm;
 use bbv_core::placement::LoadReport;
 use bbv_core::poison::Crash;
+use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros, Revision};
 use bbv_core::view::Topic;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -25,7 +27,8 @@
 /// Heartbeat interval of notices to nodes of other zones that sent requests recently. Traffic
 /// between zones costs more, and state that changes many times a second is out of date on arrival.
 const CROSS_ZONE_HEARTBEAT: Micros = 1_000 * MS;
-/// Interval of notices to a random node, which spread new revisions.
+/// Interval of notices to a random node of the region, which spread new revisions, and to few nodes of
+/// other regions.
 const GOSSIP_INTERVAL: Micros = 1_000 * MS;
 /// Size of the receive buffer; no node sends a larger notice.
 const MAX_NOTICE_BYTES: usize = 1_400;
@@ -58,6 +61,8 @@
     control_age: Option<Micros>,
     /// How long the store has not answered the node's zone, if the node's own calls fail.
     failing: Option<Micros>,
+    /// Whether the receiver is asked for a notice.
+    asks: bool,
 }
 
 impl From<&Notice> for LoadReport {
@@ -112,6 +117,11 @@
         self.sent_at = now;
         true
     }
+
+    /// Returns whether a notice is due since the state has changed and if so, records it as sent.
+    fn take_changed(&mut self, now: Micros, urgent_state: UrgentState) -> bool {
+        self.last_state != Some(urgent_state) && self.take_due(now, urgent_state, 0)
+    }
 }
 
 /// Returns the VM id that corresponds to an address.
@@ -147,6 +157,7 @@
             upstreams_age: state.age(now, Topic::Upstreams),
             control_age: state.age(now, Topic::Control),
             failing,
+            asks: false,
         }
     }
 
@@ -155,12 +166,13 @@
         let mut ticks = self.timer.every(TICK_INTERVAL);
         let mut same_zone = NoticeSchedule::default();
         let mut cross_zone = NoticeSchedule::default();
+        let mut cross_region = NoticeSchedule::default();
         let mut reader_notices = NoticeSchedule::default();
         let mut announced = [0; Topic::ALL.len()];
         let mut gossiped_at: Micros = 0;
         loop {
             let now = ticks.next().await.now;
-            self.lock().pauses.record_tick(self.now());
+            self.record_tick();
             self.poll_admission();
             self.expire_entries(now);
             let report = self.lock().load_report(now);
@@ -175,19 +187,34 @@
             let urgent_cross_zone = UrgentState { closed, stopping, ..UrgentState::default() };
             self.announce_revisions(&socket, now, &mut reader_notices, &mut announced);
             if same_zone.take_due(now, urgent_state, HEARTBEAT) {
-                self.send_to(&socket, &self.recent_senders(now, true), None);
+                self.send_to(&socket, &self.recent_senders(now, Distance::Zone), None);
             }
             if cross_zone.take_due(now, urgent_cross_zone, CROSS_ZONE_HEARTBEAT) {
-                self.send_to(&socket, &self.recent_senders(now, false), None);
+                self.send_to(&socket, &self.recent_senders(now, Distance::Region), None);
+            }
+            // Replies carry the load to other regions.
+            if cross_region.take_changed(now, urgent_cross_zone) {
+                self.send_to(&socket, &self.recent_senders(now, Distance::Remote), None);
             }
             if now >= gossiped_at + GOSSIP_INTERVAL {
                 gossiped_at = now;
-                let random = self.random_peer();
-                self.send_to(&socket, random.as_slice(), None);
+                let mut peers = self.remote_region_peers();
+                peers.extend(self.random_peer());
+                self.send_to(&socket, &peers, None);
+                self.ask_silent_peers(&socket, now);
             }
         }
     }
 
+    /// Records a tick, which shows pauses of this process, and decides which regions are out of reach.
+    fn record_tick(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.pauses.record_tick(now);
+        let paused = state.pauses.spans(now, now);
+        state.decide_regions(&self.settings, now, paused);
+    }
+
     fn expire_entries(&self, now: Micros) {
         let expired = self.lock().view.expire(now);
         let effects: Vec<_> =
@@ -195,13 +222,15 @@
         self.view_changed("lapse", Topic::Upstreams, &effects);
     }
 
-    /// Returns the nodes that sent requests recently, either of this zone or of other zones.
-    fn recent_senders(&self, now: Micros, same_zone: bool) -> Vec<IpAddr> {
+    /// Returns the nodes at `distance` that sent requests recently.
+    fn recent_senders(&self, now: Micros, distance: Distance) -> Vec<IpAddr> {
         let mut state = self.lock();
         state.recent_ingresses.retain(|_, at| now < *at + RECENT_INGRESS_TTL);
         let own = self.settings.peers.ip();
-        let zone = self.settings.zone.as_str();
-        let wanted = |ip: &IpAddr| *ip != own && state.is_in_zone(*ip, zone) == same_zone;
+        // A node that is not listed is taken to be in another zone of the region.
+        let distance_of =
+            |ip: &IpAddr| state.distance(&self.settings, *ip).unwrap_or(Distance::Region);
+        let wanted = |ip: &IpAddr| *ip != own && distance_of(ip) == distance;
         state.recent_ingresses.keys().copied().filter(wanted).collect()
     }
 
@@ -223,6 +252,7 @@
             peers.truncate(ANNOUNCE_FANOUT);
             if known[1] != control {
                 peers.extend(self.remote_peers(REMOTE_FANOUT));
+                peers.extend(self.remote_region_peers());
             }
             self.send_to(socket, &peers, None);
         }
@@ -250,29 +280,45 @@
         vms.map(|(ip, _)| ip).collect()
     }
 
-    /// Returns up to `count` random nodes of other zones.
+    /// Returns up to `count` random nodes of other zones of the region.
     fn remote_peers(&self, count: usize) -> Vec<IpAddr> {
         let mut state = self.lock();
         let state = &mut *state;
-        let zone = self.settings.zone.as_str();
-        let remote = state.index.vms().filter(|(_, vm_zone)| &***vm_zone != zone);
+        let is_near = |zone: &Name| self.settings.distance(zone) == Distance::Region;
+        let remote = state.index.vms().filter(|(_, zone)| is_near(zone));
         remote.map(|(ip, _)| ip).choose_multiple(&mut state.rng, count)
     }
 
+    /// Returns a random node, of this region if there is one.
     pub(crate) fn random_peer(&self) -> Option<IpAddr> {
         let mut state = self.lock();
         let state = &mut *state;
         let own = self.settings.peers.ip();
-        let ips = state.index.vms().map(|(ip, _)| ip).filter(|ip| *ip != own);
-        ips.choose(&mut state.rng)
+        let others = state.index.vms().filter(|(ip, _)| *ip != own);
+        let is_remote = |zone: &Name| self.settings.distance(zone) == Distance::Remote;
+        let (remote, near): (Vec<_>, Vec<_>) = others.partition(|(_, zone)| is_remote(zone));
+        let peers = if near.is_empty() { remote } else { near };
+        peers.into_iter().map(|(ip, _)| ip).choose(&mut state.rng)
+    }
+
+    /// Asks nodes of other regions that do not respond for a notice.
+    fn ask_silent_peers(&self, socket: &UdpSocket, now: Micros) {
+        let silent = self.silent_peers(now);
+        if !silent.is_empty() {
+            let notice = Notice { asks: true, ..self.build_notice(None) };
+            self.send_notice(socket, &silent, &notice);
+        }
     }
 
     fn send_to(&self, socket: &UdpSocket, to: &[IpAddr], crash: Option<Crash>) {
         if to.is_empty() {
             return;
         }
-        let notice = self.build_notice(crash);
-        let Ok(bytes) = postcard::to_stdvec(&notice) else { return };
+        self.send_notice(socket, to, &self.build_notice(crash));
+    }
+
+    fn send_notice(&self, socket: &UdpSocket, to: &[IpAddr], notice: &Notice) {
+        let Ok(bytes) = postcard::to_stdvec(notice) else { return };
         for ip in to {
             let addr = SocketAddr::new(*ip, self.settings.notices.port());
             self.metrics.notices.inc();
@@ -317,6 +363,7 @@
         let now = self.now();
         {
             let mut state = self.lock();
+            state.record_region_message(&self.settings, from);
             let peer = state.peers.entry(from).or_default();
             peer.record_message();
             peer.stopping = notice.stopping;
@@ -336,6 +383,9 @@
             }
             state.confirm_known(now, notice);
         }
+        if let (true, Some(socket)) = (notice.asks, self.notice_socket.get()) {
+            self.send_to(socket, &[from], None);
+        }
         let known = Known { upstreams: notice.revision, control: notice.control };
         self.pull_newer(from, known);
     }
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -5,15 +5,19 @@
 use std::sync::Arc;
 
 use bbv_core::admission::RefusalReason;
+use bbv_core::distance::Distance;
 use bbv_core::placement::{self, UpstreamStats};
+use bbv_core::region_choice::{self, Carriage};
 use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros};
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use hyper::body::Body;
 use rand::Rng;
 
 use crate::completion::GateResult;
 use crate::event::{self, Event};
+use crate::homes::{NO_HOME, NO_HOME_RETRY_AFTER};
 use crate::ingress::{ANSWERED, Call, CallOutcome, DEFAULT_RETRY_AFTER};
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::Node;
@@ -52,6 +56,7 @@
 struct Choice {
     instance: Name,
     addr: SocketAddr,
+    distance: Distance,
     /// Age of its load report; `None` without a report.
     report_age: Option<Micros>,
 }
@@ -80,7 +85,7 @@
         progress: &mut Progress,
     ) -> CallOutcome {
         while !progress.is_exhausted() {
-            let Some(choice) = self.choose_upstream(call, &progress.tried) else { break };
+            let Some(choice) = self.choose_upstream(call, progress) else { break };
             progress.tried.push(choice.instance.clone());
             progress.sends += 1;
             let accept_slow = progress.accepts_slow(&choice.instance);
@@ -91,6 +96,9 @@
                 NextStep::Done(outcome) => return outcome,
             }
         }
+        if progress.sends == 0 && self.lacks_home(call) {
+            return CallOutcome::refused(NO_HOME, NO_HOME_RETRY_AFTER);
+        }
         let retry_after = progress.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
         progress.last_outcome.take().unwrap_or_else(|| CallOutcome::refused("no-room", retry_after))
     }
@@ -184,30 +192,40 @@
     }
 
     /// Chooses the upstream with the least expected loss.
-    fn choose_upstream(&self, call: &Call, tried: &[Name]) -> Option<Choice> {
+    fn choose_upstream(&self, call: &Call, progress: &Progress) -> Option<Choice> {
         let now = self.now();
         let mut state = self.lock();
         let state = &mut *state;
         state.forget_hopeless(now, &call.route, call.deadline);
         let profile = state.profile(&call.route);
         let target = (call.arrived + call.route.target).saturating_sub(now).max(MS);
-        let kb_cost = self.settings.zone_kb_cost * profile.response_bytes / 1_024.0;
+        let homes = state.homes(call);
+        let kb_costs = self.settings.kb_costs();
+        let carriage = Carriage {
+            request_kb: call.body.len() as f64 / 1_024.0,
+            response_kb: profile.response_bytes / 1_024.0,
+            refusals: progress.refusals,
+        };
         let unknown = UpstreamStats::default();
         let mut best: Option<(f64, Choice)> = None;
         for (id, up) in state.index.usable(&call.service) {
-            if tried.contains(id) || !call.homes.allows(self.settings.region(&up.zone)) {
+            let region = self.settings.region(&up.zone);
+            let barred = !homes.allows(region) || state.is_region_lost(region);
+            if barred || progress.tried.contains(id) {
                 continue;
             }
             let local = up.addr == self.settings.upstream;
-            let same_zone = *up.zone == *self.settings.zone;
+            let distance = self.settings.distance(&up.zone);
+            let same_zone = distance == Distance::Zone;
             let peer = state.peers.get(&up.addr.ip()).copied().unwrap_or_default();
             let stats = state.upstream_stats.get(id).unwrap_or(&unknown);
-            let rtt = if local { 0 } else { peer.expected_rtt(same_zone) };
-            let cost = stats.cost(now, profile.service_time as Micros, up.slots, rtt);
-            let mut loss = placement::loss(cost, target);
-            if !same_zone {
-                loss += kb_cost;
+            let rtt = if local { 0 } else { peer.expected_rtt(distance) };
+            let mut cost = stats.cost(now, profile.service_time as Micros, up.slots, rtt);
+            if !stats.is_known(now) {
+                cost += region_choice::unknown_cost(distance, profile.service_time as Micros);
             }
+            let mut loss = placement::loss(cost, target);
+            loss += region_choice::bytes_loss(distance, kb_costs, carriage);
             let unavailable = !local && (peer.stopping || peer.is_unresponsive(now, same_zone));
             if unavailable || stats.is_closed(now) || stats.is_avoided(now) {
                 loss += LAST_RESORT_LOSS;
@@ -217,6 +235,7 @@
                 let choice = Choice {
                     instance: id.clone(),
                     addr: up.addr,
+                    distance,
                     report_age: stats.report_age(now),
                 };
                 best = Some((loss, choice));
@@ -277,6 +296,7 @@
         let now = self.now();
         let mut state = self.lock();
         state.upstream_stats.entry(choice.instance.clone()).or_default().record_send(now, id);
+        state.record_region_request(&self.settings, now, choice.addr.ip());
         let peer = state.peers.entry(choice.addr.ip()).or_default();
         peer.record_request(now);
         let one_way = peer.rtt() / 2;
@@ -325,6 +345,20 @@
         SendResult::Replied(Box::new(GateResult { reply, response }))
     }
 
+    /// Counts a send to another region and the bytes of the bodies.
+    fn count_region_send(&self, call: &Call, choice: &Choice, result: &SendResult) {
+        if choice.distance != Distance::Remote {
+            return;
+        }
+        let response = match result {
+            SendResult::Replied(result) => result.response.as_ref(),
+            _ => None,
+        };
+        let received = response.map_or(0, |response| response.body().size_hint().lower());
+        self.metrics.region_sends.inc();
+        self.metrics.region_bytes.inc_by(call.body.len() as u64 + received);
+    }
+
     /// Updates load, round-trip time, service time and failures after a send.
     fn record_result(
         self: &Arc<Self>,
@@ -339,12 +373,15 @@
         if let SendResult::Replied(result) = result {
             self.learn_known(ip, result.reply.known);
         }
+        self.count_region_send(call, choice, result);
         let mut state = self.lock();
         let state = &mut *state;
         let stats = state.upstream_stats.entry(choice.instance.clone()).or_default();
         let reply = match result {
             SendResult::Replied(result) => result.reply,
-            SendResult::Unsent(_) => return state.record_unreachable(now, &choice.instance, ip),
+            SendResult::Unsent(_) => {
+                return state.record_unreachable(&self.settings, now, &choice.instance, ip);
+            }
             SendResult::Lost(_) | SendResult::TimedOut => {
                 return stats.record_outcome(now, false, 1.0);
             }
@@ -367,6 +404,7 @@
                 stats.avoid(now + reply.retry_after.min(MAX_REFUSAL_AVOIDANCE));
             }
         }
+        state.record_region_message(&self.settings, ip);
         let peer = state.peers.entry(ip).or_default();
         peer.record_message();
         peer.connect_failures = 0;
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bbv_core::catalogue::{ConfigErrors, YamlReader, read_yaml};
+use bbv_core::region_choice::KbCosts;
 use bbv_core::retry_budget::RetryLimit;
 use bbv_core::units::{Micros, SEC};
 use eyre::{WrapErr, eyre};
@@ -37,8 +38,11 @@
     pub heartbeat: Micros,
     /// Limit on the retries of all nodes together.
     pub retries: RetryLimit,
-    /// Cost of a kilobyte sent between zones, as a share of the loss of a request.
-    pub zone_kb_cost: f64,
+    /// Cost of a kilobyte sent between zones, as a share of the loss of a request; the default depends
+    /// on whether there are several regions.
+    pub zone_kb_cost: Option<f64>,
+    /// Cost of a kilobyte sent between regions, as a share of the loss of a request.
+    pub region_kb_cost: f64,
     /// Maximum number of bytes that the bodies of requests take at once.
     pub request_memory: usize,
     /// Maximum number of bytes that the bodies of responses take at once.
@@ -57,7 +61,10 @@
 const DEFAULT_HEARTBEAT_S: f64 = 1.5;
 const MAX_HEARTBEAT_S: f64 = 3_600.0;
 const DEFAULT_ZONE_KB_COST: f64 = 0.2;
-const MAX_ZONE_KB_COST: f64 = 100.0;
+/// Zones of one region of several are near each other.
+const DEFAULT_NEAR_ZONE_KB_COST: f64 = 0.02;
+const DEFAULT_REGION_KB_COST: f64 = 0.2;
+const MAX_KB_COST: f64 = 100.0;
 const DEFAULT_REQUEST_MEMORY_MB: f64 = 64.0;
 /// More than a VM's link of 20 Mbit/s carries within usual deadlines.
 const DEFAULT_RESPONSE_MEMORY_MB: f64 = 6.0;
@@ -136,7 +143,8 @@
             grace: micros(DEFAULT_GRACE_S),
             heartbeat: micros(DEFAULT_HEARTBEAT_S),
             retries: RetryLimit::default(),
-            zone_kb_cost: DEFAULT_ZONE_KB_COST,
+            zone_kb_cost: None,
+            region_kb_cost: DEFAULT_REGION_KB_COST,
             request_memory: (DEFAULT_REQUEST_MEMORY_MB * BYTES_PER_MB) as usize,
             response_memory: (DEFAULT_RESPONSE_MEMORY_MB * BYTES_PER_MB) as usize,
             revocation: None,
@@ -169,9 +177,10 @@
             grace: time(root, "grace_s", MAX_GRACE_S, DEFAULT_GRACE_S),
             heartbeat: time(root, "heartbeat_s", MAX_HEARTBEAT_S, DEFAULT_HEARTBEAT_S),
             retries: retry_limit(root),
-            zone_kb_cost: root
-                .optional_float("zone_kb_cost", 0.0..=MAX_ZONE_KB_COST)
-                .unwrap_or(DEFAULT_ZONE_KB_COST),
+            zone_kb_cost: root.optional_float("zone_kb_cost", 0.0..=MAX_KB_COST),
+            region_kb_cost: root
+                .optional_float("region_kb_cost", 0.0..=MAX_KB_COST)
+                .unwrap_or(DEFAULT_REGION_KB_COST),
             request_memory: memory(root, "request_memory_mb", DEFAULT_REQUEST_MEMORY_MB),
             response_memory: memory(root, "response_memory_mb", DEFAULT_RESPONSE_MEMORY_MB),
             revocation: root.optional_float("revoke_s", 0.0..=MAX_REVOKE_S).map(micros),
@@ -189,6 +198,28 @@
         self.regions.get(zone).map(String::as_str)
     }
 
+    /// Returns whether the zones lie in several regions.
+    ///
+    /// ```
+    /// assert!(!bbv_mesh::settings::Settings::default().has_several_regions());
+    /// ```
+    pub fn has_several_regions(&self) -> bool {
+        let mut regions = self.regions.values();
+        let first = regions.next();
+        regions.any(|region| Some(region) != first)
+    }
+
+    /// Returns what bytes to other zones and regions cost.
+    ///
+    /// ```
+    /// assert_eq!(bbv_mesh::settings::Settings::default().kb_costs().zone, 0.2);
+    /// ```
+    pub fn kb_costs(&self) -> KbCosts {
+        let several = self.has_several_regions();
+        let default = if several { DEFAULT_NEAR_ZONE_KB_COST } else { DEFAULT_ZONE_KB_COST };
+        KbCosts { zone: self.zone_kb_cost.unwrap_or(default), region: self.region_kb_cost }
+    }
+
     /// Reads the settings file at `path`.
     ///
     /// ```
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -15,6 +15,7 @@
 use bbv_core::placement::{LoadReport, UpstreamStats};
 use bbv_core::poison::Suspects;
 use bbv_core::readers::Readers;
+use bbv_core::region_watch::RegionWatch;
 use bbv_core::retry_budget::RetryBudget;
 use bbv_core::route::{Name, Route, Routing, ServiceLimits, Splitter};
 use bbv_core::routing_page::{RecentRoutings, RoutingTransfer};
@@ -132,6 +133,8 @@
     pub suspects: Suspects,
     /// Other nodes, by address.
     pub peers: HashMap<IpAddr, Peer>,
+    /// Which other regions are out of reach.
+    pub region_watch: RegionWatch,
     /// Ingresses that recently sent requests, with the time of the last one.
     pub recent_ingresses: HashMap<IpAddr, Micros>,
     /// VMs of this zone whose upstreams are no longer listed, each with the time until which it gets
@@ -179,6 +182,7 @@
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
             peers: HashMap::new(),
+            region_watch: RegionWatch::default(),
             recent_ingresses: HashMap::new(),
             unlisted: BTreeMap::new(),
             local: LocalUpstream::default(),
@@ -341,7 +345,14 @@
     }
 
     /// Avoids an upstream whose gate could not be connected to, with exponential backoff.
-    pub fn record_unreachable(&mut self, now: Micros, instance: &Name, ip: IpAddr) {
+    pub fn record_unreachable(
+        &mut self,
+        settings: &Settings,
+        now: Micros,
+        instance: &Name,
+        ip: IpAddr,
+    ) {
+        self.record_region_failure(settings, now, ip);
         let peer = self.peers.entry(ip).or_default();
         let doublings = peer.connect_failures.min(MAX_BACKOFF_DOUBLINGS);
         peer.connect_failures += 1;
