--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -192,15 +192,6 @@
         self.fresh_report(now).is_some_and(|report| report.closed)
     }
 
-    /// Returns whether there is a report that is not ignored for its age.
-    ///
-    /// ```
-    /// assert!(!bbv_core::placement::UpstreamStats::default().is_known(0));
-    /// ```
-    pub fn is_known(&self, now: Micros) -> bool {
-        self.fresh_report(now).is_some()
-    }
-
     fn fresh_report(&self, now: Micros) -> Option<LoadReport> {
         let (at, report) = self.report?;
         (now.saturating_sub(at) < MAX_STALENESS).then_some(report)
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -204,7 +204,6 @@
         let carriage = Carriage {
             request_kb: call.body.len() as f64 / 1_024.0,
             response_kb: profile.response_bytes / 1_024.0,
-            refusals: progress.refusals,
         };
         let unknown = UpstreamStats::default();
         let mut best: Option<(f64, Choice)> = None;
@@ -220,10 +219,7 @@
             let peer = state.peers.get(&up.addr.ip()).copied().unwrap_or_default();
             let stats = state.upstream_stats.get(id).unwrap_or(&unknown);
             let rtt = if local { 0 } else { peer.expected_rtt(distance) };
-            let mut cost = stats.cost(now, profile.service_time as Micros, up.slots, rtt);
-            if !stats.is_known(now) {
-                cost += region_choice::unknown_cost(distance, profile.service_time as Micros);
-            }
+            let cost = stats.cost(now, profile.service_time as Micros, up.slots, rtt);
             let mut loss = placement::loss(cost, target);
             loss += region_choice::bytes_loss(distance, kb_costs, carriage);
             let unavailable = !local && (peer.stopping || peer.is_unresponsive(now, same_zone));
