--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -30,6 +30,8 @@
 /// Interval of notices to a random node of the region, which spread new revisions, and to few nodes of
 /// other regions.
 const GOSSIP_INTERVAL: Micros = 1_000 * MS;
+/// Bytes after a notice whose receiver is asked for a notice; nodes that do not know them ignore them.
+const ASKS: [u8; 1] = [1];
 /// Size of the receive buffer; no node sends a larger notice.
 const MAX_NOTICE_BYTES: usize = 1_400;
 
@@ -61,8 +63,6 @@
     control_age: Option<Micros>,
     /// How long the store has not answered the node's zone, if the node's own calls fail.
     failing: Option<Micros>,
-    /// Whether the receiver is asked for a notice.
-    asks: bool,
 }
 
 impl From<&Notice> for LoadReport {
@@ -157,7 +157,6 @@
             upstreams_age: state.age(now, Topic::Upstreams),
             control_age: state.age(now, Topic::Control),
             failing,
-            asks: false,
         }
     }
 
@@ -305,8 +304,7 @@
     fn ask_silent_peers(&self, socket: &UdpSocket, now: Micros) {
         let silent = self.silent_peers(now);
         if !silent.is_empty() {
-            let notice = Notice { asks: true, ..self.build_notice(None) };
-            self.send_notice(socket, &silent, &notice);
+            self.send_notice(socket, &silent, &self.build_notice(None), &ASKS);
         }
     }
 
@@ -314,11 +312,12 @@
         if to.is_empty() {
             return;
         }
-        self.send_notice(socket, to, &self.build_notice(crash));
+        self.send_notice(socket, to, &self.build_notice(crash), &[]);
     }
 
-    fn send_notice(&self, socket: &UdpSocket, to: &[IpAddr], notice: &Notice) {
-        let Ok(bytes) = postcard::to_stdvec(notice) else { return };
+    fn send_notice(&self, socket: &UdpSocket, to: &[IpAddr], notice: &Notice, end: &[u8]) {
+        let Ok(mut bytes) = postcard::to_stdvec(notice) else { return };
+        bytes.extend_from_slice(end);
         for ip in to {
             let addr = SocketAddr::new(*ip, self.settings.notices.port());
             self.metrics.notices.inc();
@@ -345,8 +344,13 @@
         let mut bytes = [0_u8; MAX_NOTICE_BYTES];
         loop {
             match socket.recv_from(&mut bytes).await {
-                Ok((len, from)) => match postcard::from_bytes::<Notice>(&bytes[..len]) {
-                    Ok(notice) => self.apply_notice(from.ip(), &notice),
+                Ok((len, from)) => match postcard::take_from_bytes::<Notice>(&bytes[..len]) {
+                    Ok((notice, end)) => {
+                        self.apply_notice(from.ip(), &notice);
+                        if end == ASKS {
+                            self.send_to(&socket, &[from.ip()], None);
+                        }
+                    }
                     Err(error) => {
                         event::warn(Event::NoticeFailed, &[("from", &from), ("why", &error)]);
                     }
@@ -383,9 +387,6 @@
             }
             state.confirm_known(now, notice);
         }
-        if let (true, Some(socket)) = (notice.asks, self.notice_socket.get()) {
-            self.send_to(socket, &[from], None);
-        }
         let known = Known { upstreams: notice.revision, control: notice.control };
         self.pull_newer(from, known);
     }
--- a/crates/mesh/tests/regions.rs
+++ b/crates/mesh/tests/regions.rs
@@ -8,6 +8,8 @@
 
 /// Time from the store's acknowledgement within which a change is in force.
 const BOUND: Duration = Duration::from_secs(3);
+/// Time in which each node asks a lost region and is answered.
+const ASKED: Duration = Duration::from_millis(1_200);
 /// Time within which a request for a lost region is refused.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
@@ -84,3 +86,31 @@
     tokio::time::sleep(BOUND).await;
     assert_eq!(fleet.get(0, "/get/1", "back").await.status, 200);
 }
+
+/// A region returns to several nodes that found it lost. Few of its nodes speak to other regions of their
+/// own accord, so that most of those nodes hear from it only since they ask.
+#[tokio::test]
+async fn lost_region_that_is_back_answers_all_nodes_that_ask() {
+    let zones: Vec<&str> = [["a-1"; 8].as_slice(), ["b-1"; 5].as_slice()].concat();
+    let mut fleet = prepare(&zones).await;
+    let near: Vec<usize> = (0..8).collect();
+    start(&mut fleet, &near, &config(2, Some(&["b"]), &[])).await;
+    for index in &near {
+        let id = format!("lost-{index}");
+        assert_eq!(fleet.get(*index, "/get/1", &id).await.status, 503);
+        let response = fleet.get(*index, "/get/1", &format!("{id}-again")).await;
+        assert_eq!(response.header("bbv-reason"), Some("no-home"), "node {index}");
+    }
+    for index in 8..zones.len() {
+        fleet.start_node(index).await;
+    }
+    for member in &fleet.members {
+        let node = &member.running.as_ref().expect("node is running").node;
+        wait_until("a node is ready", || node.ready()).await;
+    }
+    tokio::time::sleep(ASKED).await;
+    for index in &near {
+        let response = fleet.get(*index, "/get/1", &format!("back-{index}")).await;
+        assert_eq!(response.status, 200, "node {index}");
+    }
+}
