Read the list of zones in the test of the settings template

Cause: the template lists zones over several lines, which the test took for a field called '- { name'; it failed since the template has the list.

Change: the test renders the list, asks that it is documented and that it yields regions; it checks everything that it checked before.

--- a/crates/mesh/tests/pages.rs
+++ b/crates/mesh/tests/pages.rs
@@ -26,10 +26,19 @@
     let page = read("docs/OPERATIONS.md");
     let mut text = String::new();
     for line in read("platform/settings.yaml").lines() {
-        let Some((key, value)) = line.split_once(": ") else { continue };
         if line.starts_with('#') {
             continue;
         }
+        if line.starts_with("  - ") {
+            text += &format!("{}\n", line.replace("{{@}}", "name").replace("{{.|json}}", "name"));
+            continue;
+        }
+        if let Some(key) = line.strip_suffix(':') {
+            assert!(page.contains(&format!("| `{key}` |")), "{key}");
+            text += &format!("{line}\n");
+            continue;
+        }
+        let Some((key, value)) = line.split_once(": ") else { continue };
         assert!(page.contains(&format!("| `{key}` |")), "{key}");
         let example = match value {
             value if value.contains("_s|") || value.contains("budget") => "1",
@@ -41,5 +50,6 @@
     }
     let settings = Settings::parse(&text).expect("the template sets every required field");
     assert_eq!(settings.node, "name");
+    assert_eq!(settings.region("name"), Some("name"));
     assert!(settings.metrics.is_some());
 }
