--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,10 +6,10 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`bucket`], [`claims`], [`credential`], [`freshness`], [`granter`], [`history`], [`homes`],
-//!   [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
-//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`shares`], [`slow_period`]
-//!   and [`view`].
+//!   [`bucket`], [`claims`], [`credential`], [`distance`], [`freshness`], [`granter`],
+//!   [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`],
+//!   [`placement`], [`readers`], [`region_choice`], [`region_watch`], [`retry_budget`],
+//!   [`route`], [`routing_change`], [`routing_page`], [`shares`], [`slow_period`] and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
@@ -26,6 +26,7 @@
 pub mod claims;
 mod cold;
 pub mod credential;
+pub mod distance;
 pub mod documents;
 pub mod fleet;
 pub mod freshness;
@@ -51,6 +52,8 @@
 pub mod ramp;
 pub mod readers;
 pub mod reconciliation;
+pub mod region_choice;
+pub mod region_watch;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod route;
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -43,6 +43,10 @@
     QuotasAssigned,
     /// The node began or ceased to read the store for its zone.
     ReaderChanged,
+    /// A region that was out of reach has sent a message.
+    RegionBack,
+    /// A region is out of reach.
+    RegionLost,
     /// Settings were read again.
     Reloaded,
     /// The node started.
@@ -74,7 +78,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 31] = [
+pub const EVENTS: &[Event] = &[
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -92,6 +96,8 @@
     Event::PullFailed,
     Event::QuotasAssigned,
     Event::ReaderChanged,
+    Event::RegionBack,
+    Event::RegionLost,
     Event::Reloaded,
     Event::Started,
     Event::Stopped,
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -35,6 +35,12 @@
     pub quota_asks: IntCounter,
     /// Time since the store is proven to have had no newer routing, in seconds.
     pub proof_age: Gauge,
+    /// Requests sent to other regions.
+    pub region_sends: IntCounter,
+    /// Bytes of the bodies of these requests and of their responses.
+    pub region_bytes: IntCounter,
+    /// Number of regions out of reach.
+    pub regions_lost: IntGauge,
     /// Panics of background tasks.
     pub panics: IntCounter,
     /// Version of the routing in force.
@@ -162,6 +168,12 @@
                 "bbv_proof_age_seconds",
                 "Age of the proof that the routing is newest.",
             ),
+            region_sends: counter("bbv_region_sends_total", "Requests sent to other regions."),
+            region_bytes: counter(
+                "bbv_region_bytes_total",
+                "Bytes of bodies sent to other regions and received from them.",
+            ),
+            regions_lost: gauge("bbv_regions_lost", "Number of regions out of reach."),
             panics: counter("bbv_panics_total", "Panics of background tasks."),
             routing_version: gauge("bbv_routing_version", "Version of the routing in force."),
             limit: gauge("bbv_limit", "Concurrent requests allowed at the upstream."),
