--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 //! Two programs use this crate, and most modules serve only one of them:
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
-//!   [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
+//!   [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`pipeline`], [`placement`], [`readers`],
 //!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
 //!   [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
@@ -40,6 +40,7 @@
 pub mod outcome;
 pub mod pauses;
 pub mod peer;
+pub mod pipeline;
 pub mod placement;
 pub mod poison;
 pub mod queue;
--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -6,7 +6,7 @@
 use bbv_core::body_budget::{BodyBudget, BodyTooLarge};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use parking_lot::Mutex;
 
 /// Why a body is not complete.
@@ -65,7 +65,7 @@
 /// Reads a complete body of at most `max_bytes`, which count towards `budget` for as long as they
 /// are referenced.
 pub(crate) async fn collect(
-    mut body: Incoming,
+    mut body: impl Body<Data = Bytes, Error = hyper::Error> + Unpin,
     max_bytes: usize,
     budget: &Arc<Mutex<BodyBudget>>,
 ) -> Result<Bytes, BodyError> {
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -11,6 +11,8 @@
 pub enum Event {
     /// A connection could not be accepted.
     AcceptFailed,
+    /// A connection goes on without reading requests ahead, or ended with such requests.
+    AheadEnded,
     /// A request of a caller completed, or its caller disconnected.
     Call,
     /// The body of a request could not be received.
@@ -68,8 +70,9 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 28] = [
+pub const EVENTS: [Event; 29] = [
     Event::AcceptFailed,
+    Event::AheadEnded,
     Event::Call,
     Event::CallBroken,
     Event::CallUnrouted,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -14,9 +14,10 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use siphasher::sip::SipHasher13;
 
+use crate::ahead::Tracked;
 use crate::body::{self, BodyError};
 use crate::event::{self, Event};
 use crate::head_limits;
@@ -126,7 +127,7 @@
     /// Handles a request of a caller.
     pub(crate) async fn serve_caller(
         self: &Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Tracked>,
     ) -> Response<Full<Bytes>> {
         let arrived = self.now();
         let _open = OpenRequest::new(self);
@@ -198,7 +199,7 @@
     /// Reads the request of a caller and matches it to a route.
     async fn read_call(
         &self,
-        request: Request<Incoming>,
+        request: Request<Tracked>,
         arrived: Micros,
     ) -> Result<Call, CallOutcome> {
         let routing = self.lock().routing().cloned();
@@ -251,7 +252,7 @@
 
     async fn read_body(
         &self,
-        body: Incoming,
+        body: Tracked,
         max_bytes: usize,
         deadline: Micros,
     ) -> Result<Bytes, CallOutcome> {
@@ -279,7 +280,7 @@
     head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok())
 }
 
-fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
+pub(crate) fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
     routing.find(host(head)?, head.uri.path()).cloned()
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! pass. `bbv-core` makes the decisions; this crate does the I/O and supplies the time.
 
 mod activity;
+mod ahead;
 mod allowance;
 mod attempt;
 mod body;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -29,6 +29,12 @@
     pub notices: IntCounter,
     /// Panics of background tasks.
     pub panics: IntCounter,
+    /// Requests started before their turn on their connection.
+    pub ahead_started: IntCounter,
+    /// Connections on which requests are read before their turn.
+    pub ahead_connections: IntGauge,
+    /// Responses that wait for earlier ones on their connection.
+    pub ahead_held: IntGauge,
     /// Version of the routing in force.
     pub routing_version: IntGauge,
     /// Concurrent requests allowed at the upstream.
@@ -144,6 +150,18 @@
             probes: counter("bbv_probes_total", "Health checks of the upstream."),
             notices: counter("bbv_notices_total", "Load notices sent."),
             panics: counter("bbv_panics_total", "Panics of background tasks."),
+            ahead_started: counter(
+                "bbv_ahead_started_total",
+                "Requests started before their turn on their connection.",
+            ),
+            ahead_connections: gauge(
+                "bbv_ahead_connections",
+                "Connections on which requests are read before their turn.",
+            ),
+            ahead_held: gauge(
+                "bbv_ahead_held",
+                "Responses that wait for earlier ones on their connection.",
+            ),
             routing_version: gauge("bbv_routing_version", "Version of the routing in force."),
             limit: gauge("bbv_limit", "Concurrent requests allowed at the upstream."),
             routing_age: seconds("bbv_routing_age_seconds", "Age of the routing in force."),
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -1,7 +1,7 @@
 //! Starts the listeners and background tasks of a node, and shuts it down gracefully.
 
 use std::convert::Infallible;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -12,16 +12,18 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use futures_util::FutureExt;
-use http::{Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
+use tokio::task::JoinError;
 
 use crate::activity::Activity;
+use crate::ahead::{AheadConnection, AheadStream, Queue, ReadAhead};
 use crate::event::{self, Event};
 use crate::field_room::FieldRoom;
 use crate::head_limits::{self, DEFAULT_IDLE_TIMEOUT};
@@ -228,29 +230,46 @@
         let logged_node = Arc::clone(&node);
         let exchanges = Exchanges::default();
         let activity = Activity::default();
+        let queue = Queue::new();
+        let stream = AheadStream::new(stream, callers);
+        let mut ahead =
+            callers.then(|| ReadAhead::new(Arc::clone(&node), queue.clone(), stream.clone(), from));
         let mut stream = Withheld::new(activity.watch(stream), exchanges.clone());
+        let requests = queue.clone();
         let mut service = service_fn(move |request| {
-            let node = Arc::clone(&node);
             let open = exchanges.begin();
+            // Only callers send requests ahead.
+            let started = if callers { requests.begin(&request) } else { None };
+            let (node, queue) = (Arc::clone(&node), requests.clone());
             async move {
-                let response = dispatch(&node, kind, from.ip(), request).await;
-                Ok::<_, Infallible>(response.map(|body| hold_until_read(body, open)))
+                let response = match kind {
+                    ListenerKind::Callers => queue.respond(node, request, started).await?,
+                    ListenerKind::Peers => node.serve_peer(from.ip(), request).await,
+                    ListenerKind::Operators => serve_operator(&node, request.uri().path()),
+                };
+                Ok::<_, JoinError>(response.map(|body| hold_until_read(body, open)))
             }
         });
         let mut room = FieldRoom::default();
         let result = loop {
             let builder = connection_builder(kind, accepted, room);
-            let mut conn = builder.serve_connection(TokioIo::new(stream), service);
+            let conn = builder.serve_connection(TokioIo::new(stream), service);
+            if let Some(ahead) = &mut ahead {
+                ahead.set_builder(builder);
+            }
+            let mut conn = AheadConnection::new(conn, ahead.as_mut());
             let result = tokio::select! {
                 // A request that has arrived is read before the connection counts as idle.
                 biased;
                 result = &mut conn => result,
                 () = wait_for_end(&mut self.close_signal, &mut limits, accepted), if callers => {
-                    end_after_request(&mut conn, http1::Connection::graceful_shutdown, &activity)
+                    queue.close();
+                    let is_busy = || activity.is_pending() || queue.has_started();
+                    end_after_request(&mut conn, http1::Connection::graceful_shutdown, is_busy)
                         .await
                 }
             };
-            let parts = conn.into_parts();
+            let parts = conn.conn.into_parts();
             let refused = parts.io.into_inner();
             match room.next() {
                 Some(larger) if refused.is_refused() => room = larger,
@@ -263,23 +282,24 @@
     }
 }
 
-/// Shuts a connection down after the request that has begun to arrive on it, if any.
-async fn end_after_request<T>(
-    conn: &mut T,
-    shut_down: impl FnOnce(Pin<&mut T>),
-    activity: &Activity,
+/// Shuts a connection down after the request that has begun to arrive on it, if any, and those that
+/// have been started, for as long as it is busy.
+async fn end_after_request<C>(
+    conn: &mut AheadConnection<'_, C>,
+    shut_down: impl FnOnce(Pin<&mut C>),
+    is_busy: impl Fn() -> bool,
 ) -> hyper::Result<()>
 where
-    T: Future<Output = hyper::Result<()>> + Unpin,
+    C: Future<Output = hyper::Result<()>> + Unpin,
 {
     // The server would take half a request for none.
-    while activity.is_pending() {
+    while is_busy() {
         let result = tokio::time::timeout(PENDING_POLL, &mut *conn).await;
         if let Ok(result) = result {
             return result;
         }
     }
-    shut_down(Pin::new(conn));
+    shut_down(Pin::new(&mut conn.conn));
     conn.await
 }
 
@@ -368,19 +388,6 @@
     builder
 }
 
-async fn dispatch(
-    node: &Arc<Node>,
-    kind: ListenerKind,
-    from: IpAddr,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    match kind {
-        ListenerKind::Callers => node.serve_caller(request).await,
-        ListenerKind::Peers => node.serve_peer(from, request).await,
-        ListenerKind::Operators => serve_operator(node, request.uri().path()),
-    }
-}
-
 fn serve_operator(node: &Node, path: &str) -> Response<Full<Bytes>> {
     match path {
         bbv_platform::READINESS_PATH if node.ready() => response::local(StatusCode::OK, "ready"),
