--- a/crates/mesh/src/ahead/reader.rs
+++ b/crates/mesh/src/ahead/reader.rs
@@ -1,7 +1,6 @@
 //! Reads requests before their turn, with the HTTP library's own server.
 
 use std::cell::Cell;
-use std::fmt;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -12,7 +11,7 @@
 use bytes::Bytes;
 use http::header::{EXPECT, UPGRADE};
 use http::request::Parts;
-use http::{Method, Request, Response};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -63,26 +62,6 @@
     }
 }
 
-/// Why a reader goes no further.
-#[derive(Debug)]
-enum Stop {
-    /// The request changes the protocol of the connection.
-    Upgrade,
-    /// The body of a request could not be read.
-    Body(hyper::Error),
-}
-
-impl fmt::Display for Stop {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Stop::Upgrade => f.write_str("request changes the protocol"),
-            Stop::Body(error) => error.fmt(f),
-        }
-    }
-}
-
-impl std::error::Error for Stop {}
-
 /// What a reader needs to start requests.
 #[derive(Clone)]
 pub(super) struct Starter {
@@ -133,9 +112,12 @@
 
 /// Returns whether the request with this head may run beside the ones before it.
 fn is_independent(node: &Node, head: &Parts) -> bool {
+    if head.headers.contains_key(EXPECT) || head.headers.contains_key(UPGRADE) {
+        return false;
+    }
     let routing = node.lock().routing().cloned();
     let route = routing.and_then(|routing| ingress::find_route(&routing, head));
-    !head.headers.contains_key(EXPECT) && route.is_some_and(|route| route.idempotent)
+    route.is_some_and(|route| route.idempotent)
 }
 
 /// Starts a request that was read, or waits until it has had its turn.
@@ -143,14 +125,11 @@
     starter: Starter,
     turn: Turn,
     request: Request<Incoming>,
-) -> Result<Response<Empty<Bytes>>, Stop> {
+) -> hyper::Result<Response<Empty<Bytes>>> {
     let (head, mut body) = request.into_parts();
-    if head.method == Method::CONNECT || head.headers.contains_key(UPGRADE) {
-        return Err(Stop::Upgrade);
-    }
     let independent = body.is_end_stream() && is_independent(&starter.node, &head);
     while let Some(frame) = body.frame().await {
-        frame.map_err(Stop::Body)?;
+        frame?;
     }
     let mut request = Some(Request::from_parts(head, Tracked::untracked(body)));
     // The task of the connection polls again whenever a turn begins or ends.
--- a/crates/mesh/src/ahead/stream.rs
+++ b/crates/mesh/src/ahead/stream.rs
@@ -53,7 +53,8 @@
 
     /// Returns whether the server has taken all bytes that have arrived, and waits for more.
     pub fn is_waiting(&self) -> bool {
-        self.0.lock().waiting
+        let state = self.0.lock();
+        state.waiting && state.unread.is_empty()
     }
 
     /// Returns whether bytes wait to be read a second time.
@@ -65,8 +66,11 @@
     pub fn begin_copy(&self) {
         let mut state = self.0.lock();
         match &mut state.copied {
-            Some(copied) => copied.clear(),
-            none => *none = Some(BytesMut::new()),
+            Some(copied) if copied.capacity() <= READ_BYTES => copied.clear(),
+            large => *large = Some(BytesMut::new()),
+        }
+        if state.unread.is_empty() && state.unread.capacity() > READ_BYTES {
+            state.unread = BytesMut::new();
         }
     }
 
--- a/crates/mesh/tests/ahead_cut.rs
+++ b/crates/mesh/tests/ahead_cut.rs
@@ -227,8 +227,7 @@
     let conn = http1::Builder::new().serve_connection(TokioIo::new(far), service);
     let _ = tokio::time::timeout(Duration::from_millis(20), conn).await;
     drop(near);
-    let ids = ids.lock().expect("no panic").clone();
-    ids
+    std::mem::take(&mut *ids.lock().expect("no panic"))
 }
 
 /// Requests that two readers may cut in two ways, with a request to be hidden.
