--- a/crates/mesh/src/ahead/stream.rs
+++ b/crates/mesh/src/ahead/stream.rs
@@ -16,6 +16,9 @@
 /// Bytes that are read ahead at once.
 const READ_BYTES: usize = 4_096;
 
+/// Size up to which a buffer is kept when it is empty; the head of a request fits.
+const KEPT_BYTES: usize = 1_024;
+
 /// Stream of a connection. Its clones share the socket: one belongs to the server, the others read
 /// ahead and look at what has been read.
 #[derive(Clone)]
@@ -66,10 +69,10 @@
     pub fn begin_copy(&self) {
         let mut state = self.0.lock();
         match &mut state.copied {
-            Some(copied) if copied.capacity() <= READ_BYTES => copied.clear(),
+            Some(copied) if copied.capacity() <= KEPT_BYTES => copied.clear(),
             large => *large = Some(BytesMut::new()),
         }
-        if state.unread.is_empty() && state.unread.capacity() > READ_BYTES {
+        if state.unread.is_empty() && state.unread.capacity() > KEPT_BYTES {
             state.unread = BytesMut::new();
         }
     }
--- a/crates/mesh/tests/ahead.rs
+++ b/crates/mesh/tests/ahead.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bbv_stand::caller;
-use bbv_stand::fleet::{Fleet, wait_until};
+use bbv_stand::fleet::{Fleet, config, limits, wait_until};
 use bbv_stand::upstream::Behaviour;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,6 +18,8 @@
 const MAX_AHEAD: usize = 16;
 /// Requests that fit into the node and its socket, but not into the node alone.
 const UNREAD_REQUESTS: usize = 600;
+/// Bytes that the HTTP library reads at once from a new connection.
+const LIBRARY_BUFFER: usize = 8_192;
 /// Time within which requests of a caller that has left end.
 const LEAVE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -29,6 +31,11 @@
     caller::request("POST", "/post/1", id, 4_000, "body")
 }
 
+/// Returns a request that may not run twice, without a body.
+fn post_bare(id: &str) -> String {
+    caller::request("POST", "/post/1", id, 4_000, "")
+}
+
 fn gets(ids: std::ops::Range<usize>) -> String {
     ids.map(|index| get(&format!("id-{index}"))).collect()
 }
@@ -193,17 +200,19 @@
 
 #[tokio::test]
 async fn non_idempotent_request_waits_for_its_turn_and_runs_once() {
-    let fleet = start(RUN_TIME).await;
-    let mut stream = connect(&fleet).await;
-    send(&mut stream, &format!("{}{}{}", gets(0..2), post("id-2"), gets(3..5))).await;
-    wait_until("the first two run", || fleet.runs() == 2).await;
-    tokio::time::sleep(RUN_TIME / 3).await;
-    assert_eq!(fleet.runs(), 2, "a request ran before its turn");
-    assert_eq!(read(&mut stream, 2).await, (answered(0..2), false));
-    // What follows a request that runs may run beside it.
-    wait_until("the others run", || fleet.runs() == 5).await;
-    assert_eq!(read(&mut stream, 3).await, (answered(2..5), false));
-    assert_eq!(fleet.runs(), 5);
+    for waiting in [post("id-2"), post_bare("id-2")] {
+        let fleet = start(RUN_TIME).await;
+        let mut stream = connect(&fleet).await;
+        send(&mut stream, &format!("{}{waiting}{}", gets(0..2), gets(3..5))).await;
+        wait_until("the first two run", || fleet.runs() == 2).await;
+        tokio::time::sleep(RUN_TIME / 3).await;
+        assert_eq!(fleet.runs(), 2, "a request ran before its turn");
+        assert_eq!(read(&mut stream, 2).await, (answered(0..2), false));
+        // What follows a request that runs may run beside it.
+        wait_until("the others run", || fleet.runs() == 5).await;
+        assert_eq!(read(&mut stream, 3).await, (answered(2..5), false));
+        assert_eq!(fleet.runs(), 5);
+    }
 }
 
 /// A request that waits for its turn is not passed on if the connection closes before.
@@ -212,12 +221,21 @@
     let fleet = start(RUN_TIME).await;
     let mut stream = connect(&fleet).await;
     let closing = get("id-1").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
-    send(&mut stream, &format!("{}{closing}{}", get("id-0"), post("id-2"))).await;
+    send(&mut stream, &format!("{}{closing}{}", get("id-0"), post_bare("id-2"))).await;
     assert_eq!(read(&mut stream, 3).await, (answered(0..2), true));
     tokio::time::sleep(RUN_TIME / 3).await;
     assert_eq!(fleet.runs(), 2);
 }
 
+/// Sends a request, and others behind it that run longer.
+async fn send_longer_behind(fleet: &Fleet, stream: &mut TcpStream) {
+    send(stream, &get("id-0")).await;
+    wait_until("the first request runs", || fleet.runs() == 1).await;
+    *fleet.members[0].upstream.delay.lock() = RUN_TIME * 4;
+    send(stream, &format!("{}{}", gets(1..5), post("id-5"))).await;
+    wait_until("the others run", || fleet.runs() == 5).await;
+}
+
 /// A stopping node answers what it has passed on before it closes the connection.
 #[tokio::test]
 async fn stopping_node_answers_what_has_started() {
@@ -229,11 +247,10 @@
             let stop = tokio::spawn(running.stop());
             // The connections of callers are closed at 2.6 s, while the requests run.
             tokio::time::sleep(Duration::from_millis(2_300)).await;
-            send(&mut stream, &format!("{}{}", gets(0..5), post("id-5"))).await;
+            send_longer_behind(&fleet, &mut stream).await;
             stop
         } else {
-            send(&mut stream, &format!("{}{}", gets(0..5), post("id-5"))).await;
-            wait_until("the requests run", || fleet.runs() == 5).await;
+            send_longer_behind(&fleet, &mut stream).await;
             tokio::spawn(running.stop())
         };
         assert_eq!(read(&mut stream, 6).await, (answered(0..5), true), "late: {stops_late}");
@@ -242,6 +259,32 @@
     }
 }
 
+/// A connection that has to close as limits were raised does so though its caller always has requests
+/// ahead.
+#[tokio::test]
+async fn connection_that_is_always_busy_closes_when_limits_are_raised() {
+    let fleet = start(RUN_TIME).await;
+    let (mut reading, mut writing) = connect(&fleet).await.into_split();
+    let caller = tokio::spawn(async move {
+        for index in 0.. {
+            if writing.write_all(get(&format!("id-{index}")).as_bytes()).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(RUN_TIME / 6).await;
+        }
+    });
+    wait_until("requests run", || fleet.runs() > 4).await;
+    let mut routing = config(2, 5.0);
+    routing["resources"][3] = limits(16_384, 25.0);
+    fleet.store.put("op/config", &routing);
+    let mut bytes = Vec::new();
+    let closed = tokio::time::timeout(PATIENCE, reading.read_to_end(&mut bytes)).await;
+    assert!(closed.is_ok(), "the connection stays open");
+    caller.abort();
+    let answers = String::from_utf8_lossy(&bytes).matches("HTTP/1.1 200 OK").count();
+    assert_eq!(answers, fleet.runs(), "a request was passed on and not answered");
+}
+
 #[tokio::test]
 async fn malformed_bytes_are_refused_after_the_answers_before_them() {
     let fleet = start(RUN_TIME).await;
@@ -333,15 +376,33 @@
 #[tokio::test]
 async fn refused_body_answers_what_came_before_and_runs_nothing_behind() {
     let fleet = start(RUN_TIME).await;
-    let mut stream = connect(&fleet).await;
     let large = caller::request("POST", "/post/1", "id-2", 4_000, &"b".repeat(70_000));
-    let text = format!("{}{large}{}", gets(0..2), gets(3..6));
-    // The node may close before all is written.
-    let _ = stream.write_all(text.as_bytes()).await;
-    let (responses, closed) = read(&mut stream, 6).await;
-    assert_eq!(responses[..2], answered(0..2));
-    assert!(responses.len() < 4 && closed, "{responses:?}");
-    assert_eq!(fleet.runs(), 2);
+    let unrouted = caller::request("POST", "/none/1", "id-2", 4_000, "body");
+    for refused in [large, unrouted] {
+        let before = fleet.runs();
+        let mut stream = connect(&fleet).await;
+        let text = format!("{}{refused}{}", gets(0..2), gets(3..6));
+        // The node may close before all is written.
+        let _ = stream.write_all(text.as_bytes()).await;
+        let (responses, closed) = read(&mut stream, 6).await;
+        assert_eq!(responses[..2], answered(0..2));
+        assert!(responses.len() < 4 && closed, "{responses:?}");
+        assert_eq!(fleet.runs() - before, 2);
+    }
+}
+
+/// Bytes behind malformed ones begin no request, also where the library's buffer ends between them.
+#[tokio::test]
+async fn nothing_is_read_ahead_behind_malformed_bytes() {
+    let fleet = start(RUN_TIME).await;
+    let mut stream = connect(&fleet).await;
+    let first = get("id-0");
+    let malformed = "\0".repeat(LIBRARY_BUFFER - first.len());
+    send(&mut stream, &format!("{first}{malformed}{}", gets(1..4))).await;
+    let (responses, closed) = read(&mut stream, 5).await;
+    assert_eq!(responses, [(200, "id-0".to_owned()), (400, "none".to_owned())]);
+    assert!(closed);
+    assert_eq!(fleet.runs(), 1);
 }
 
 /// A connection goes back to reading one request at a time, and forward again.
