--- a/crates/core/tests/pipeline.rs
+++ b/crates/core/tests/pipeline.rs
@@ -11,6 +11,7 @@
     pipeline.begin(true);
     let steps: Vec<Step> = (1..=4).map(|turn| pipeline.step(turn, true)).collect();
     assert_eq!(steps, [Step::Start, Step::Start, Step::Start, Step::Wait]);
+    assert_eq!(pipeline.step(2, true), Step::Pass, "a request starts once");
     assert_eq!(pipeline.begin(true), (1, true));
     assert_eq!(pipeline.step(4, true), Step::Start);
     assert_eq!(pipeline.step(5, true), Step::Wait);
