--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,8 +8,9 @@
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
 //!   [`bucket`], [`claims`], [`credential`], [`distance`], [`freshness`], [`granter`],
 //!   [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`],
-//!   [`placement`], [`readers`], [`region_choice`], [`region_watch`], [`retry_budget`],
-//!   [`route`], [`routing_change`], [`routing_page`], [`shares`], [`slow_period`] and [`view`].
+//!   [`pipeline`], [`placement`], [`readers`], [`region_choice`], [`region_watch`],
+//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`shares`],
+//!   [`slow_period`] and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
@@ -46,6 +47,7 @@
 pub mod outcome;
 pub mod pauses;
 pub mod peer;
+pub mod pipeline;
 pub mod placement;
 pub mod poison;
 pub mod queue;
--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -4,6 +4,7 @@
 use bbv_core::homes::Homes;
 use bbv_core::route::{Name, Route};
 use bbv_core::units::{MS, Micros};
+use bbv_platform::header;
 use http::request::Parts;
 
 use crate::ingress::{self, Call};
@@ -68,6 +69,9 @@
             return false;
         }
         let region = self.settings.region(&self.settings.zone);
+        let name = head.headers.get(header::ORGANISATION).and_then(|name| name.to_str().ok());
+        let organisation = name.and_then(|name| routing.organisations.get(name));
         ingress::find_route(routing, head).is_some_and(|route| !route.homes.allows(region))
+            || organisation.is_some_and(|known| !known.homes.allows(region))
     }
 }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -15,9 +15,10 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use siphasher::sip::SipHasher13;
 
+use crate::ahead::Tracked;
 use crate::body::{self, BodyError};
 use crate::credential;
 use crate::event::{self, Event};
@@ -130,7 +131,7 @@
     /// Handles a request of a caller.
     pub(crate) async fn serve_caller(
         self: &Arc<Self>,
-        request: Request<Incoming>,
+        request: Request<Tracked>,
     ) -> Response<Full<Bytes>> {
         let arrived = self.now();
         let _open = OpenRequest::new(self);
@@ -202,7 +203,7 @@
     /// Reads the request of a caller and matches it to a route.
     async fn read_call(
         &self,
-        request: Request<Incoming>,
+        request: Request<Tracked>,
         arrived: Micros,
     ) -> Result<Call, CallOutcome> {
         let (routing, standing) = self
@@ -264,7 +265,7 @@
 
     async fn read_body(
         &self,
-        body: Incoming,
+        body: Tracked,
         max_bytes: usize,
         deadline: Micros,
     ) -> Result<Bytes, CallOutcome> {
