Refuse requests by rank and calls when services lack room

Cause: at each gate rank, deadline and mean service time decided alone.

Change: calls take over the rank, deadline and weight of the request that made them. Gates learn the calls of each route, keep cold starts for more urgent ranks, and report their room by rank. Ingresses refuse by these reports before a request takes room anywhere.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -14,9 +14,11 @@
 };
 
 use crate::cold::ColdLimiter;
+use crate::demand::Demand;
 use crate::knee::{KneeDetector, LoadLevel};
+use crate::room::Room;
 use crate::slow_period::SlowPeriods;
-use crate::units::{MS, Micros};
+use crate::units::{MS, Micros, SEC};
 
 /// What a request does at the present speed of the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +52,8 @@
 const QUEUE_PER_SLOT: usize = 4;
 /// Shortest retry delay given to a caller.
 const MIN_RETRY_AFTER: Micros = 20 * MS;
+/// Time for which a warm upstream counts as short of room after it has refused a request for that.
+const SHORT_TIME: Micros = SEC;
 
 /// Admission control for one upstream.
 #[derive(Clone, Debug)]
@@ -64,6 +68,9 @@
     queue: Vec<AdmissionRequest>,
     evicted: Vec<u64>,
     knee: KneeDetector,
+    demand: Demand,
+    /// Until when the upstream counts as short of room, if it is warm.
+    short_until: Micros,
     /// Mean service time at normal speed.
     mean_time: f64,
     /// Mean time for which a request occupies a slot, slow periods included.
@@ -89,6 +96,8 @@
             queue: Vec::new(),
             evicted: Vec::new(),
             knee: KneeDetector::default(),
+            demand: Demand::default(),
+            short_until: 0,
             mean_time: INITIAL_MEAN,
             mean_occupancy: INITIAL_MEAN,
         }
@@ -235,6 +244,42 @@
         self.cold.is_cold(now)
     }
 
+    /// Records a request of `rank` that arrived for the first time and stands for `weight`
+    /// requests, so that room is kept for its rank.
+    ///
+    /// ```
+    /// bbv_core::admission::Admission::new(9).record_demand(0, 1, 1.0, 50_000);
+    /// ```
+    pub fn record_demand(&mut self, now: Micros, rank: u8, weight: f64, service_time: Micros) {
+        self.demand.record(now, rank, weight, service_time);
+    }
+
+    /// Room for the demand of the last second, by rank.
+    ///
+    /// ```
+    /// use bbv_core::{admission::Admission, room::Room};
+    /// assert_eq!(Admission::new(9).room(0), Room::default());
+    /// ```
+    pub fn room(&self, now: Micros) -> Room {
+        if self.cold.is_cold(now) {
+            let starts = self.cold.allowed(now) as f64;
+            return Room::new(starts, &self.demand.requests(now), self.cold.remaining(now));
+        }
+        if now >= self.short_until {
+            return Room::default();
+        }
+        let speed = (self.mean_time / self.mean_occupancy.max(1.0)).min(1.0);
+        let capacity = f64::from(self.limit(now)) * SEC as f64 * speed;
+        Room::new(capacity, &self.demand.work(now), self.backlog(now).max(self.short_until - now))
+    }
+
+    /// Time until the rate limit of a cold upstream allows a request behind `ahead` others, of
+    /// which `peers` are of its rank.
+    fn cold_wait(&mut self, now: Micros, rank: u8, ahead: usize, peers: usize) -> Micros {
+        let kept = self.demand.above(now, rank);
+        self.cold.wait(now, ahead).max(self.cold.rank_wait(now, rank, peers, kept))
+    }
+
     /// Expected time in the queue behind `ahead` other requests.
     fn queue_wait(&self, now: Micros, ahead: usize) -> Micros {
         let limit = self.limit(now) as usize;
@@ -297,11 +342,18 @@
     /// Number of queued requests that start before a new one; those that wait for a slow period to
     /// end leave their slots to others.
     fn ahead(&self, now: Micros, request: &AdmissionRequest) -> usize {
+        self.starting_before(now, request).count()
+    }
+
+    fn starting_before<'a>(
+        &'a self,
+        now: Micros,
+        request: &'a AdmissionRequest,
+    ) -> impl Iterator<Item = &'a AdmissionRequest> {
         let order = self.order(now, request);
-        let starts = |queued: &&AdmissionRequest| {
+        self.queue.iter().filter(move |queued| {
             self.order(now, queued) <= order && self.pace(now, queued) != Pace::Hold
-        };
-        self.queue.iter().filter(starts).count()
+        })
     }
 
     /// Admits, queues or refuses a new request.
@@ -325,12 +377,17 @@
             return AdmissionDecision::Refuse(self.refuse_slow(now));
         }
         let ahead = self.ahead(now, &request);
-        let cold_wait = self.cold.wait(now, ahead);
+        let same_rank = |queued: &&AdmissionRequest| queued.rank == request.rank;
+        let peers = self.starting_before(now, &request).filter(same_rank).count();
+        let cold_wait = self.cold_wait(now, request.rank, ahead, peers);
         let wait = self.queue_wait(now, ahead).max(cold_wait);
         let start = now.saturating_add(wait);
         let end = start.saturating_add(self.service_time(now, start, &request));
         if end > request.deadline {
             let reason = if cold_wait > 0 { RefusalReason::Cold } else { RefusalReason::Late };
+            if wait > 0 {
+                self.short_until = now + SHORT_TIME;
+            }
             return AdmissionDecision::Refuse(AdmissionRefusal {
                 reason,
                 retry_after: wait.max(MIN_RETRY_AFTER),
@@ -342,6 +399,9 @@
             return AdmissionDecision::Run;
         }
         let full = self.queue.len() >= QUEUE_PER_SLOT * self.slots as usize;
+        if full {
+            self.short_until = now + SHORT_TIME;
+        }
         if full && !self.evict(request.rank) {
             return AdmissionDecision::Refuse(AdmissionRefusal {
                 reason: RefusalReason::Full,
@@ -375,9 +435,9 @@
             Ordering::Equal => LoadLevel::AtKnee,
             Ordering::Greater => LoadLevel::High,
         };
-        let (id, service_time) = (request.id, request.service_time);
+        let (id, rank, service_time) = (request.id, request.rank, request.service_time);
         self.running.push(Running { id, since: now, service_time, load });
-        self.cold.start(now);
+        self.cold.start(now, rank);
     }
 
     /// Records that a request was answered and updates the measurements.
@@ -457,8 +517,11 @@
 
     /// Index of the queued request to run next.
     fn next(&self, now: Micros) -> Option<usize> {
-        let may_start =
-            |(_, request): &(usize, &AdmissionRequest)| self.pace(now, request) != Pace::Hold;
+        let may_start = |(_, request): &(usize, &AdmissionRequest)| {
+            let kept = self.demand.above(now, request.rank);
+            self.pace(now, request) != Pace::Hold
+                && self.cold.rank_wait(now, request.rank, 0, kept) == 0
+        };
         let waiting = self.queue.iter().enumerate().filter(may_start);
         waiting.min_by_key(|(_, request)| self.order(now, request)).map(|(at, _)| at)
     }
@@ -474,7 +537,8 @@
             .iter()
             .map(|request| request.deadline.saturating_sub(self.service_time(now, now, request)));
         let deadline = deadline.min()?;
-        let cold = self.cold.wait(now, 0);
+        let rank = self.queue.iter().map(|request| request.rank).min()?;
+        let cold = self.cold_wait(now, rank, 0, 0);
         let cold = if cold > 0 { now + cold } else { Micros::MAX };
         Some(deadline.min(cold).max(now + MS))
     }
--- a/crates/core/src/catalogue/reader.rs
+++ b/crates/core/src/catalogue/reader.rs
@@ -157,6 +157,15 @@
         false
     }
 
+    /// Reads a field that is `true` or `false`, which may be absent.
+    pub fn optional_boolean(&mut self, key: &str) -> Option<bool> {
+        let value = self.get(key)?.as_scalar().and_then(|s| s.as_bool());
+        if value.is_none() {
+            self.error(key, "expected true or false");
+        }
+        value
+    }
+
     /// Reads a field with a string that `parse` converts to a value.
     pub fn parsed<T>(&mut self, key: &str, parse: impl Fn(&str) -> Result<T, String>) -> Option<T> {
         let text = self.text(key);
--- a/crates/core/src/cold.rs
+++ b/crates/core/src/cold.rs
@@ -18,7 +18,8 @@
     rate: f64,
     until: Micros,
     unknown_until: Micros,
-    starts: VecDeque<Micros>,
+    /// Start and rank of each request of the last window.
+    starts: VecDeque<(Micros, u8)>,
 }
 
 impl Default for ColdLimiter {
@@ -56,26 +57,56 @@
     }
 
     /// Records the start of a request.
-    pub fn start(&mut self, now: Micros) {
-        self.starts.push_back(now);
+    pub fn start(&mut self, now: Micros, rank: u8) {
+        self.starts.push_back((now, rank));
+    }
+
+    /// Number of requests that may start within a window while the upstream is cold.
+    pub fn allowed(&self, now: Micros) -> usize {
+        let share = if now < self.unknown_until { RESTART_SHARE } else { 1.0 };
+        (self.rate * share).floor().max(1.0) as usize
+    }
+
+    /// Time for which the upstream is still cold.
+    pub fn remaining(&self, now: Micros) -> Micros {
+        self.until.saturating_sub(now)
+    }
+
+    /// Time until the rate limit allows a request of `rank` behind `ahead` others of its rank, if
+    /// `kept` starts of each window are kept for more urgent ranks.
+    pub fn rank_wait(&self, now: Micros, rank: u8, ahead: usize, kept: f64) -> Micros {
+        if !self.is_cold(now) || kept <= 0.0 {
+            return 0;
+        }
+        let allowed = self.allowed(now).saturating_sub(kept.round() as usize);
+        if allowed == 0 {
+            return self.remaining(now);
+        }
+        let (rounds, place) = (ahead / allowed, ahead % allowed);
+        let counts = |(at, other): &&(Micros, u8)| at + WINDOW > now && *other >= rank;
+        let starts: Vec<Micros> = self.starts.iter().filter(counts).map(|(at, _)| *at).collect();
+        let first = match (starts.len() + place).checked_sub(allowed) {
+            None => now,
+            Some(index) => starts.get(index).map_or(now, |at| at + WINDOW),
+        };
+        (first + rounds as Micros * WINDOW).min(self.until).saturating_sub(now)
     }
 
     /// Time until the rate limit allows a request behind `ahead` others that wait; zero if it
     /// allows one now.
     pub fn wait(&mut self, now: Micros, ahead: usize) -> Micros {
-        while self.starts.front().is_some_and(|at| at + WINDOW <= now) {
+        while self.starts.front().is_some_and(|(at, _)| at + WINDOW <= now) {
             self.starts.pop_front();
         }
         if !self.is_cold(now) {
             return 0;
         }
-        let share = if now < self.unknown_until { RESTART_SHARE } else { 1.0 };
-        let allowed = (self.rate * share).floor().max(1.0) as usize;
+        let allowed = self.allowed(now);
         let (rounds, place) = (ahead / allowed, ahead % allowed);
         let used = self.starts.len();
         let first = match (used + place).checked_sub(allowed) {
             None => now,
-            Some(index) => self.starts.get(index).map_or(now, |at| at + WINDOW),
+            Some(index) => self.starts.get(index).map_or(now, |(at, _)| at + WINDOW),
         };
         let start = first + rounds as Micros * WINDOW;
         // Once the upstream is warm it takes all of them.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -3,6 +3,7 @@
 //!
 //! It matters when upstreams differ in load or speed, fail, or are cold.
 
+use crate::room::Room;
 use crate::units::{MS, Micros, SEC};
 
 /// Load of an upstream as reported by its node.
@@ -25,6 +26,8 @@
     pub closed: bool,
     /// Whether the upstream is cold.
     pub cold: bool,
+    /// Room for each rank.
+    pub room: Room,
 }
 
 /// Largest count and time in a report; larger ones come from a malformed message.
@@ -47,6 +50,7 @@
             speed_pct: self.speed_pct.min(MAX_COUNT),
             slow_remaining: self.slow_remaining.min(MAX_TIME),
             backlog: self.backlog.min(MAX_TIME),
+            room: self.room.clamped(),
             ..self
         }
     }
@@ -65,6 +69,8 @@
 
 /// Age from which a report is ignored.
 const MAX_STALENESS: Micros = 2 * SEC;
+/// Age from which the room in a report is ignored; reports from other zones come once a second.
+const ROOM_STALENESS: Micros = 1_500 * MS;
 /// Weight of a new sample in the failure rate.
 const FAILURE_GAIN: f64 = 0.25;
 /// Weight of a new sample in the slow-down.
@@ -197,6 +203,16 @@
         (now.saturating_sub(at) < MAX_STALENESS).then_some(report)
     }
 
+    /// Room of the upstream by a report that is fresh enough to decide by.
+    ///
+    /// ```
+    /// assert_eq!(bbv_core::placement::UpstreamStats::default().room(0), None);
+    /// ```
+    pub fn room(&self, now: Micros) -> Option<Room> {
+        let (at, report) = self.report?;
+        (now.saturating_sub(at) < ROOM_STALENESS).then_some(report.room)
+    }
+
     /// Expected latency of a request with `service_time` at normal speed, weighted by the
     /// failure rate, over a network path with round-trip time `rtt`.
     ///
--- a/crates/mesh/src/completion.rs
+++ b/crates/mesh/src/completion.rs
@@ -1,11 +1,12 @@
 //! Outcome of a request at a gate, and its form as a response to the ingress.
 
+use bbv_core::route::Name;
 use bbv_core::units::Micros;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
 
-use crate::message::{GateOutcome, GateReply};
+use crate::message::{self, GateOutcome, GateReply};
 use crate::response;
 
 /// Outcome of a request at the gate, with its response if there is one.
@@ -70,6 +71,8 @@
     pub reply: GateReply,
     /// Response of the upstream, if there is one.
     pub response: Option<Response<Full<Bytes>>>,
+    /// Mean number of calls that requests of its route make, by service.
+    pub calls: Vec<(Name, f64)>,
 }
 
 impl GateResult {
@@ -79,6 +82,7 @@
         let local = || response::local(StatusCode::SERVICE_UNAVAILABLE, name);
         let mut response = self.response.unwrap_or_else(local);
         self.reply.write(response.headers_mut());
+        message::write_calls(&self.calls, response.headers_mut());
         response
     }
 }
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -39,6 +39,10 @@
     ReaderChanged,
     /// Settings were read again.
     Reloaded,
+    /// The room of the upstream beside the node changed by a rank or more.
+    RoomChanged,
+    /// A request of a caller was refused since the services that it needs lack room.
+    Shed,
     /// The node started.
     Started,
     /// The node stopped.
@@ -68,7 +72,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 28] = [
+pub const EVENTS: [Event; 30] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -84,6 +88,8 @@
     Event::PullFailed,
     Event::ReaderChanged,
     Event::Reloaded,
+    Event::RoomChanged,
+    Event::Shed,
     Event::Started,
     Event::Stopped,
     Event::Stopping,
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -10,6 +10,7 @@
     self, AdmissionDecision, AdmissionDequeued, AdmissionRefusal, RefusalReason,
 };
 use bbv_core::poison::Suspicion;
+use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros};
 use bbv_platform::header;
 use bytes::Bytes;
@@ -24,7 +25,7 @@
 use crate::body::{self, BodyError};
 use crate::completion::{Completion, GateResult};
 use crate::event::{self, Event};
-use crate::ingress::DEFAULT_RETRY_AFTER;
+use crate::ingress::{self, DEFAULT_RETRY_AFTER};
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::{Node, OpenRequest};
 use crate::pool::{Connection, SendError};
@@ -118,8 +119,26 @@
         let arrived = self.now();
         self.lock().recent_ingresses.insert(metadata.ingress, arrived);
         let id = head.headers.get(header::ATTEMPT_ID).cloned();
-        let completion = self.admit_and_run(&metadata, head, body, arrived).await;
-        self.conclude(id.as_ref(), &metadata, completion, arrived)
+        let route = self.route_name(&head);
+        let completion = self.admit_and_run(&metadata, head, body, arrived, route.clone()).await;
+        let mut result = self.conclude(id.as_ref(), &metadata, completion, arrived);
+        if let Some(route) = route {
+            result.calls = self.calls_of(&route);
+        }
+        result
+    }
+
+    /// Returns the name of the route of a request; a gate learns the calls of its requests by it.
+    fn route_name(&self, head: &Parts) -> Option<Name> {
+        let routing = self.lock().routing().cloned()?;
+        Some(ingress::find_route(&routing, head)?.name.clone())
+    }
+
+    /// Returns the mean number of calls of requests of `route`, by service.
+    fn calls_of(&self, route: &Name) -> Vec<(Name, f64)> {
+        let state = self.lock();
+        let Some(needs) = state.made.get(route) else { return Vec::new() };
+        needs.iter().map(|(service, calls)| (service.clone(), calls)).collect()
     }
 
     /// Counts and logs the outcome of a request that arrived at `arrived`, and adds the load.
@@ -147,7 +166,7 @@
         };
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
         log_outcome(id, metadata, &reply, &completion.cause, report_age);
-        GateResult { reply, response: completion.response }
+        GateResult { reply, response: completion.response, calls: Vec::new() }
     }
 
     /// Waits for admission, for which the speed of the upstream has to be known, and runs the
@@ -158,6 +177,7 @@
         head: Parts,
         body: Bytes,
         arrived: Micros,
+        route: Option<Name>,
     ) -> Completion {
         let long = metadata.service_time >= LONG_REQUEST;
         self.refresh_report(if long { SPEED_MAX_AGE } else { Micros::MAX }).await;
@@ -169,7 +189,8 @@
         let speed = u64::from(self.lock().admission.speed_pct());
         self.metrics.queue_time.observe((started - arrived) as f64 / 1e6);
         let deadline = arrived + metadata.timeout;
-        let attempt = RunningAttempt::new(self, head.headers.get(header::ATTEMPT_ID));
+        let id = head.headers.get(header::ATTEMPT_ID);
+        let mut attempt = RunningAttempt::new(self, id, route, metadata, deadline);
         let response = self.forward(metadata, head, body, deadline);
         match self.timer.timeout_at(deadline, response).await {
             None => Completion::failed(
@@ -186,7 +207,7 @@
                 if !paused {
                     permit.finish(service_time);
                 }
-                Completion::answered(response, service_time, attempt.call_refused())
+                Completion::answered(response, service_time, attempt.finish())
             }
         }
     }
@@ -212,6 +233,11 @@
             if self.closing() || other_instance || listed.is_some_and(|up| up.draining) {
                 return refused(closed);
             }
+            if self.settings.shedding && metadata.weight_pct > 0 {
+                let weight = f64::from(metadata.weight_pct) / 100.0;
+                let (rank, service_time) = (metadata.rank, metadata.service_time);
+                state.admission.record_demand(arrived, rank, weight, service_time);
+            }
             let id = self.next_id();
             let request = admission::AdmissionRequest {
                 id,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -46,6 +46,8 @@
     /// Whether a request that runs on the upstream of this node made it. It is worth what that
     /// request is worth for as long as it can be answered.
     pub nested: bool,
+    /// Number of requests that it stands for, if this node refuses some of its kind.
+    pub weight: f64,
     /// Arrival time.
     pub arrived: Micros,
     /// Time after which the caller no longer waits for a response.
@@ -141,9 +143,12 @@
             Ok(call) if self.may_cut_off(call.deadline) => {
                 CallOutcome::refused("stopping", DEFAULT_RETRY_AFTER)
             }
-            Ok(call) => {
+            Ok(mut call) => {
                 guard.labels = Some(RouteLabels { service: call.service.clone(), rank: call.rank });
-                self.send(call).await
+                match self.shed(&mut call) {
+                    Some(refused) => refused,
+                    None => self.send(call).await,
+                }
             }
             Err(outcome) => outcome,
         };
@@ -227,26 +232,40 @@
         let caller = caller
             .map_err(|_| CallOutcome::error(StatusCode::INTERNAL_SERVER_ERROR, "service-name"))?;
         head.headers.insert(header::CALLER_SERVICE, caller);
-        let (service, nested) = {
-            let mut state = self.lock();
-            (state.splitter.next(&route), state.local.is_call(&attempt_id))
-        };
+        let service = self.lock().splitter.next(&route);
         let routing_version = routing.version;
         let (rank, homes) = (route.rank, route.homes.clone());
-        Ok(Call {
+        let mut call = Call {
             route,
             service,
             rank,
             homes,
             attempt_id,
-            nested,
+            nested: false,
+            weight: 1.0,
             arrived,
             deadline,
             fingerprint,
             routing_version,
             head,
             body,
-        })
+        };
+        self.follow_parent(&mut call);
+        Ok(call)
+    }
+
+    /// Gives a call of a request that runs on the upstream of this node the rank, deadline and
+    /// weight of that request, unless its own rank is less urgent or its own deadline earlier.
+    fn follow_parent(&self, call: &mut Call) {
+        let mut state = self.lock();
+        let Some(parent) = state.local.parent(&call.attempt_id) else { return };
+        parent.record_call(&call.service);
+        call.nested = true;
+        if self.settings.shedding {
+            call.rank = call.rank.max(parent.rank);
+            call.deadline = call.deadline.min(parent.deadline);
+            call.weight = parent.weight;
+        }
     }
 
     async fn read_body(
@@ -279,7 +298,8 @@
     head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok())
 }
 
-fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
+/// Returns the route of a request.
+pub(crate) fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
     routing.find(host(head)?, head.uri.path()).cloned()
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -31,6 +31,7 @@
 mod send_result;
 mod server;
 pub mod settings;
+mod shed;
 mod state;
 mod tapped;
 mod withheld;
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -9,6 +9,8 @@
 
 use bbv_core::admission::RefusalReason;
 use bbv_core::placement::LoadReport;
+use bbv_core::room::Room;
+use bbv_core::route::Name;
 use bbv_core::units::{Micros, Revision, SEC};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 
@@ -16,6 +18,8 @@
 const REQUEST_FIELD: HeaderName = HeaderName::from_static("bbv-ask");
 /// Header field of a response from a gate.
 const REPLY_FIELD: HeaderName = HeaderName::from_static("bbv-reply");
+/// Header field of a response from a gate with the calls that requests of its route make, if any.
+const CALLS_FIELD: HeaderName = HeaderName::from_static("bbv-calls");
 
 /// Revisions that a node knows, which each message between nodes carries.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -41,6 +45,9 @@
     pub target: Micros,
     /// Priority rank; 0 is the highest.
     pub rank: u8,
+    /// Number of requests that it stands for, in percent: more than one if its ingress refuses some, and
+    /// none if it was sent before.
+    pub weight_pct: u32,
     /// Expected service time at normal speed.
     pub service_time: Micros,
     /// Whether the gate runs the request even if the upstream is slow.
@@ -125,6 +132,10 @@
     }
 }
 
+/// Largest number of requests that one stands for, in percent.
+const MAX_WEIGHT_PCT: u32 = 10_000;
+/// Largest number of services in the calls of a route.
+const MAX_CALLED: usize = 16;
 /// Longest time in a message; a longer one comes from a malformed message.
 const MAX_TIME: Micros = 3_600 * SEC;
 
@@ -172,6 +183,7 @@
             &self.timeout,
             &self.target,
             &self.rank,
+            &self.weight_pct,
             &self.service_time,
             &accept_slow,
             &self.fingerprint,
@@ -195,6 +207,7 @@
             timeout: values.next_time()?,
             target: values.next_time()?,
             rank: values.next()?,
+            weight_pct: values.next::<u32>()?.min(MAX_WEIGHT_PCT),
             service_time: values.next_time()?,
             accept_slow: values.next_flag()?,
             fingerprint: values.next()?,
@@ -223,6 +236,8 @@
             &report.backlog,
             &closed,
             &cold,
+            &report.room.level_pct,
+            &report.room.lack_ms,
             &self.known.upstreams,
             &self.known.control,
         ]);
@@ -254,9 +269,34 @@
                 backlog: values.next_time()?,
                 closed: values.next_flag()?,
                 cold: values.next_flag()?,
+                room: Room { level_pct: values.next()?, lack_ms: values.next()? },
             }
             .clamped(),
             known: values.next_known()?,
         })
     }
 }
+
+/// Writes the mean number of calls by service to the headers of a response, if there are any.
+pub(crate) fn write_calls(calls: &[(Name, f64)], headers: &mut HeaderMap) {
+    if calls.is_empty() {
+        return;
+    }
+    let texts: Vec<String> =
+        calls.iter().map(|(service, calls)| format!("{calls:.2} {service}")).collect();
+    if let Ok(value) = HeaderValue::from_str(&texts.join(",")) {
+        headers.insert(CALLS_FIELD, value);
+    }
+}
+
+/// Removes the mean number of calls by service from the headers of a response and parses it.
+pub(crate) fn extract_calls(headers: &mut HeaderMap) -> Vec<(Name, f64)> {
+    let Some(value) = headers.remove(CALLS_FIELD) else { return Vec::new() };
+    let Ok(text) = value.to_str() else { return Vec::new() };
+    let parse = |entry: &str| {
+        let (calls, service) = entry.split_once(' ')?;
+        let calls = calls.parse::<f64>().ok().filter(|calls| calls.is_finite() && *calls >= 0.0)?;
+        Some((Name::from(service), calls))
+    };
+    text.split(',').take(MAX_CALLED).filter_map(parse).collect()
+}
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -15,6 +15,11 @@
     calls: IntCounterVec,
     latency: HistogramVec,
     responses: IntCounterVec,
+    /// Requests that were refused since a service that they need lacks room, by service, service that
+    /// lacks room, and rank.
+    pub shed: IntCounterVec,
+    /// Room of the upstream: the sum of the shares of all ranks.
+    pub room: Gauge,
     /// Requests from ingresses that ended at the gate, by outcome.
     pub admitted: IntCounterVec,
     /// Time that requests were queued for the upstream.
@@ -130,6 +135,9 @@
         let responses = opts("bbv_responses_total", "Responses to callers.");
         let responses = IntCounterVec::new(responses, &["status", "source"]);
         let responses = responses.expect("metric names are valid");
+        let shed = opts("bbv_shed_total", "Requests refused for lack of room.");
+        let shed = IntCounterVec::new(shed, &["service", "scarce", "rank"]);
+        let shed = shed.expect("metric names are valid");
         let queue_time =
             histogram("bbv_wait_seconds", "Time that requests were queued for the upstream.");
         let queue_time = Histogram::with_opts(queue_time).expect("metric names are valid");
@@ -137,6 +145,8 @@
             calls: register(&registry, calls),
             latency: register(&registry, latency),
             responses: register(&registry, responses),
+            shed: register(&registry, shed),
+            room: seconds("bbv_room", "Ranks that the upstream has room for."),
             admitted: counters("bbv_admitted_total", "Requests ended at the gate.", "ended"),
             queue_time: register(&registry, queue_time),
             retries: counter("bbv_retries_total", "Requests sent again to another upstream."),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -250,6 +250,7 @@
         metrics.limit.set(i64::from(state.admission.limit(now)));
         metrics.running.set(i64::from(state.admission.running()));
         metrics.queued.set(i64::from(state.admission.queued()));
+        metrics.room.set(f64::from(state.admission.room(now).level_pct) / 100.0);
         metrics.cold.set(i64::from(state.admission.is_cold(now)));
         metrics.report_age.set(seconds(state.local.reported_at));
     }
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -7,6 +7,7 @@
 use bbv_core::id::Vm;
 use bbv_core::placement::LoadReport;
 use bbv_core::poison::Crash;
+use bbv_core::room::Room;
 use bbv_core::units::{MS, Micros, Revision};
 use bbv_core::view::Topic;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -51,6 +52,10 @@
     backlog: Micros,
     closed: bool,
     cold: bool,
+    /// Sum of the shares of all ranks that there is room for, in percent.
+    room_pct: u16,
+    /// Time until more room is expected, in milliseconds.
+    lack_ms: u16,
     crash: Option<Crash>,
     /// Age of what the node knows of upstreams.
     upstreams_age: Option<Micros>,
@@ -71,6 +76,7 @@
             backlog: notice.backlog,
             closed: notice.closed,
             cold: notice.cold,
+            room: Room { level_pct: notice.room_pct, lack_ms: notice.lack_ms },
         }
         .clamped()
     }
@@ -143,6 +149,8 @@
             backlog: report.backlog,
             closed: report.closed,
             cold: report.cold,
+            room_pct: report.room.level_pct,
+            lack_ms: report.room.lack_ms,
             crash,
             upstreams_age: state.age(now, Topic::Upstreams),
             control_age: state.age(now, Topic::Control),
@@ -164,6 +172,7 @@
             self.poll_admission();
             self.expire_entries(now);
             let report = self.lock().load_report(now);
+            self.log_room(report.room);
             let (closed, stopping) = (report.closed, self.leaving());
             let urgent_state = UrgentState {
                 speed: report.speed_pct / SPEED_STEP,
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -15,7 +15,7 @@
 use crate::completion::GateResult;
 use crate::event::{self, Event};
 use crate::ingress::{ANSWERED, Call, CallOutcome, DEFAULT_RETRY_AFTER};
-use crate::message::{GateOutcome, GateReply, GateRequest};
+use crate::message::{self, GateOutcome, GateReply, GateRequest};
 use crate::node::Node;
 use crate::pool::SendError;
 use crate::progress::Progress;
@@ -84,7 +84,8 @@
             progress.tried.push(choice.instance.clone());
             progress.sends += 1;
             let accept_slow = progress.accepts_slow(&choice.instance);
-            let result = self.send_to_gate(call, &choice, accept_slow).await;
+            let weight = if progress.sends == 1 { call.weight } else { 0.0 };
+            let result = self.send_to_gate(call, &choice, accept_slow, weight).await;
             match self.next_step(call, progress, result) {
                 NextStep::Retry => {}
                 NextStep::Stop => break,
@@ -231,11 +232,13 @@
         call: &Call,
         choice: &Choice,
         accept_slow: bool,
+        weight: f64,
     ) -> SendResult {
         let sent_at = self.now();
         let id = self.next_id();
         let local = choice.addr == self.settings.upstream;
-        let metadata = self.start_send(call, choice, id, accept_slow);
+        let mut metadata = self.start_send(call, choice, id, accept_slow);
+        metadata.weight_pct = (weight * 100.0).round() as u32;
         let _guard = SendGuard { node: Arc::clone(self), instance: choice.instance.clone(), id };
         let expected = metadata.service_time;
         let sending = async {
@@ -289,6 +292,7 @@
             timeout: call.deadline.saturating_sub(now + one_way),
             target: target.saturating_sub(now + one_way),
             rank: call.rank,
+            weight_pct: 100,
             service_time,
             accept_slow,
             fingerprint: call.fingerprint,
@@ -315,6 +319,7 @@
             Err(error) => return SendResult::Lost(error.to_string()),
         };
         self.peer_pool.put(conn, None);
+        let calls = message::extract_calls(&mut head.headers);
         let Some(reply) = GateReply::extract(&mut head.headers) else {
             return SendResult::Lost(
                 "response of the gate has no valid bbv-reply field".to_owned(),
@@ -322,7 +327,7 @@
         };
         let answered = reply.outcome == GateOutcome::Answered;
         let response = answered.then(|| response::forwarded(&call.head.method, head, body));
-        SendResult::Replied(Box::new(GateResult { reply, response }))
+        SendResult::Replied(Box::new(GateResult { reply, response, calls }))
     }
 
     /// Updates load, round-trip time, service time and failures after a send.
@@ -341,6 +346,12 @@
         }
         let mut state = self.lock();
         let state = &mut *state;
+        if let SendResult::Replied(result) = result
+            && !result.calls.is_empty()
+        {
+            let needs = state.needs.entry(call.route.name.clone()).or_default();
+            needs.learn(result.calls.clone());
+        }
         let stats = state.upstream_stats.entry(choice.instance.clone()).or_default();
         let reply = match result {
             SendResult::Replied(result) => result.reply,
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -48,6 +48,9 @@
     pub revocation: Option<Micros>,
     /// Window in which the quotas of organisations hold.
     pub quota_window: Micros,
+    /// Whether requests are refused by rank, with the calls that they make, when there is too little
+    /// room.
+    pub shedding: bool,
     /// Additional address for metrics, if any.
     pub metrics: Option<SocketAddr>,
 }
@@ -141,6 +144,7 @@
             response_memory: (DEFAULT_RESPONSE_MEMORY_MB * BYTES_PER_MB) as usize,
             revocation: None,
             quota_window: micros(DEFAULT_QUOTA_WINDOW_S),
+            shedding: true,
             metrics: None,
         }
     }
@@ -176,6 +180,7 @@
             response_memory: memory(root, "response_memory_mb", DEFAULT_RESPONSE_MEMORY_MB),
             revocation: root.optional_float("revoke_s", 0.0..=MAX_REVOKE_S).map(micros),
             quota_window: time(root, "quota_window_s", MAX_QUOTA_WINDOW_S, DEFAULT_QUOTA_WINDOW_S),
+            shedding: root.optional_boolean("shedding").unwrap_or(true),
             metrics: optional_addr(root, "metrics"),
         })
     }
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -9,6 +9,7 @@
 use bbv_core::history::History;
 use bbv_core::index::Index;
 use bbv_core::lag::MAX_LAG_DELAY;
+use bbv_core::needs::Needs;
 use bbv_core::outage::Outage;
 use bbv_core::pauses::Pauses;
 use bbv_core::peer::Peer;
@@ -16,6 +17,7 @@
 use bbv_core::poison::Suspects;
 use bbv_core::readers::Readers;
 use bbv_core::retry_budget::RetryBudget;
+use bbv_core::room::Room;
 use bbv_core::route::{Name, Route, Routing, ServiceLimits, Splitter};
 use bbv_core::routing_page::{RecentRoutings, RoutingTransfer};
 use bbv_core::units::{MS, Micros, SEC};
@@ -28,6 +30,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::oneshot;
 
+use crate::attempt::AttemptState;
 use crate::knowledge::{Knowledge, StoreCall};
 use crate::message::Known;
 use crate::notice::vm_of;
@@ -72,8 +75,8 @@
     pub listed: bool,
     /// Whether it refuses connections.
     pub down: bool,
-    /// Attempts that run on it, and whether a call that one of them made was refused.
-    pub attempts: HashMap<HeaderValue, bool>,
+    /// Attempts that run on it.
+    pub attempts: HashMap<HeaderValue, AttemptState>,
     /// Time of its latest health check.
     pub checked_at: Micros,
     /// Time of its latest load report.
@@ -83,21 +86,16 @@
 impl LocalUpstream {
     /// Returns the attempt that made the call with `id`, if it runs on this upstream: ids of calls
     /// continue the id of their attempt after a dot.
-    fn parent(&mut self, id: &HeaderValue) -> Option<&mut bool> {
+    pub fn parent(&mut self, id: &HeaderValue) -> Option<&mut AttemptState> {
         let dot = id.as_bytes().iter().rposition(|byte| *byte == b'.')?;
         let parent = HeaderValue::from_bytes(&id.as_bytes()[..dot]).ok()?;
         self.attempts.get_mut(&parent)
     }
 
-    /// Returns whether a running attempt made the call with `id`.
-    pub fn is_call(&mut self, id: &HeaderValue) -> bool {
-        self.parent(id).is_some()
-    }
-
     /// Records that the call with `id` was refused, so that its attempt will fail.
     pub fn record_refused_call(&mut self, id: &HeaderValue) {
-        if let Some(refused) = self.parent(id) {
-            *refused = true;
+        if let Some(parent) = self.parent(id) {
+            parent.refused = true;
         }
     }
 }
@@ -124,6 +122,10 @@
     pub splitter: Splitter,
     /// Averages of requests, by route.
     pub profiles: HashMap<Name, RouteProfile>,
+    /// Calls of requests that run on the upstream beside this node, by route.
+    pub made: HashMap<Name, Needs>,
+    /// Calls of requests, as told by gates, by route.
+    pub needs: HashMap<Name, Needs>,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<Name, RetryBudget>,
     /// Pauses of this process.
@@ -149,6 +151,8 @@
     pub readers: Readers,
     /// Whether this node was a reader in the latest line of the log about that.
     pub logged_reader: bool,
+    /// Ranks that the upstream has room for, in the latest line of the log about that.
+    pub logged_room: u16,
     /// Outage of the store, as seen by this node or told by others of its zone.
     pub outage: Outage,
     /// Random number generator for choices.
@@ -175,6 +179,8 @@
             upstream_stats: BTreeMap::new(),
             splitter: Splitter::default(),
             profiles: HashMap::new(),
+            made: HashMap::new(),
+            needs: HashMap::new(),
             pauses: Pauses::new(now),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
@@ -187,6 +193,7 @@
             transfer: RoutingTransfer::default(),
             readers: Readers::new(u64::from(vm), &settings.zone),
             logged_reader: false,
+            logged_room: Room::default().ranks(),
             outage: Outage::default(),
             rng,
         }
@@ -337,6 +344,7 @@
             backlog: self.admission.backlog(now),
             closed: self.admission.is_closed(),
             cold: self.admission.is_cold(now),
+            room: self.admission.room(now),
         }
     }
 
