Order calls before new requests of their rank, and shed only what cannot wait

Cause: replays of the cold return showed that ingresses refused requests of rank 0 for noise in the reports, refused what could wait for the end of the lack within its target, and that a guard against starvation acted in the first seconds, on calls of rank 2 before rank 0.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -270,7 +270,7 @@
         }
         let speed = (self.mean_time / self.mean_occupancy.max(1.0)).min(1.0);
         let capacity = f64::from(self.limit(now)) * SEC as f64 * speed;
-        Room::new(capacity, &self.demand.work(now), self.backlog(now).max(self.short_until - now))
+        Room::new(capacity, &self.demand.work(now), self.backlog(now).max(SHORT_TIME))
     }
 
     /// Time until the rate limit of a cold upstream allows a request behind `ahead` others, of
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -4,11 +4,11 @@
 use crate::units::{MS, Micros, SEC};
 
 /// Ranks that are told apart; less urgent ones count as the last of them.
-pub const RANKS: usize = 8;
+pub const RANKS: usize = 16;
 /// Time over which demand is averaged.
 const WINDOW: Micros = SEC;
-/// Least time over which demand is averaged after the first request.
-const MIN_SPAN: Micros = 150 * MS;
+/// Least time over which demand is averaged after the first request; a few requests say little.
+const MIN_SPAN: Micros = 500 * MS;
 
 /// Number and work of the requests of one rank, decayed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -65,7 +65,7 @@
     /// Requests per second, by rank.
     ///
     /// ```
-    /// assert_eq!(bbv_core::demand::Demand::default().requests(0), [0.0; 8]);
+    /// assert_eq!(bbv_core::demand::Demand::default().requests(0), [0.0; 16]);
     /// ```
     pub fn requests(&self, now: Micros) -> [f64; RANKS] {
         let factor = self.rate_factor(now);
@@ -75,7 +75,7 @@
     /// Work per second in microseconds at normal speed, by rank.
     ///
     /// ```
-    /// assert_eq!(bbv_core::demand::Demand::default().work(0), [0.0; 8]);
+    /// assert_eq!(bbv_core::demand::Demand::default().work(0), [0.0; 16]);
     /// ```
     pub fn work(&self, now: Micros) -> [f64; RANKS] {
         let factor = self.rate_factor(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod poison;
 pub mod queue;
 pub mod ramp;
+pub mod rank_shares;
 pub mod readers;
 pub mod reconciliation;
 pub mod rendezvous;
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -11,6 +11,18 @@
 /// Longest time in a report.
 const MAX_LACK_MS: u16 = 10_000;
 
+/// Order in which requests get room: by rank, and calls of requests that run before new requests of
+/// the same rank, since refusing a call wastes the work of its request.
+///
+/// ```
+/// use bbv_core::room::urgency;
+/// assert!(urgency(1, true) < urgency(1, false));
+/// assert!(urgency(0, false) < urgency(1, true));
+/// ```
+pub fn urgency(rank: u8, call: bool) -> u8 {
+    rank.saturating_mul(2).saturating_add(u8::from(!call))
+}
+
 /// Share of the demand of each rank that an upstream has room for, and how long it lacks room for
 /// the rest.
 ///
--- a/crates/core/src/shedding.rs
+++ b/crates/core/src/shedding.rs
@@ -9,8 +9,12 @@
 
 /// Share of requests that are let through in any case, which shows that there is room again.
 const PROBE_SHARE: f64 = 1.0 / 32.0;
-/// Shares from this one on let all requests through: reports are not more exact.
-const AMPLE_SHARE: f64 = 0.95;
+/// Room of a service for a share of the requests to it from which all of them are let through, and below
+/// it as many more than the share. Reports are old and inexact; the gates refuse the rest by exact
+/// counts, at no cost to requests that have not run.
+const AMPLE_SHARE: f64 = 0.6;
+/// Chance from which all requests are let through.
+const FULL_SHARE: f64 = 0.95;
 /// Shortest time after which a refused request may be retried.
 const MIN_RETRY_AFTER: Micros = 100 * MS;
 /// Spread of the times after which refused requests may be retried, as a share of the time.
@@ -64,31 +68,33 @@
 /// Decides about a request of a caller.
 ///
 /// `service` is the room of the service that it is sent to, and `calls` the room of each service
-/// that it calls, with the mean number of calls. `draw` and `spread` are random, from 0 to 1.
+/// that it calls, with the mean number of calls. `slack` is the time for which the request can wait and
+/// still meet its target: a lack that ends within it is none. `draw` and `spread` are random, from 0 to 1.
 ///
 /// ```
 /// use bbv_core::shedding::{ServiceRoom, Verdict, decide};
 /// let none = ServiceRoom { share: 0.0, lack: 2_000_000 };
-/// assert_eq!(decide(None, [], 0.5, 0.5), Verdict::Admit { weight: 1.0 });
-/// assert!(matches!(decide(None, [(none, 1.4)], 0.5, 0.5), Verdict::Refuse { .. }));
+/// assert_eq!(decide(None, [], 0, 0.5, 0.5), Verdict::Admit { weight: 1.0 });
+/// assert!(matches!(decide(None, [(none, 1.4)], 0, 0.5, 0.5), Verdict::Refuse { .. }));
 /// ```
 pub fn decide(
     service: Option<ServiceRoom>,
     calls: impl IntoIterator<Item = (ServiceRoom, f64)>,
+    slack: Micros,
     draw: f64,
     spread: f64,
 ) -> Verdict {
-    let mut share: f64 = 1.0;
-    let mut lack = 0;
-    let needed = calls.into_iter().map(|(room, calls)| (room.share.powf(calls.max(1.0)), room));
-    let own = service.map(|room| (room.share, room));
-    for (room_share, room) in own.into_iter().chain(needed) {
+    let own = service.map(|room| ((room.share / AMPLE_SHARE).min(1.0), room));
+    let called = calls.into_iter().map(|(room, calls)| (room.share.powf(calls.max(1.0)), room));
+    let (mut share, mut lack): (f64, Micros) = (1.0, 0);
+    let lacks = own.into_iter().chain(called).filter(|(_, room)| room.lack > slack);
+    for (room_share, room) in lacks {
         share = share.min(room_share);
-        if room_share < AMPLE_SHARE {
+        if room_share < FULL_SHARE {
             lack = lack.max(room.lack);
         }
     }
-    if share >= AMPLE_SHARE {
+    if share >= FULL_SHARE {
         return Verdict::Admit { weight: 1.0 };
     }
     let chance = share.max(PROBE_SHARE);
--- a/crates/core/tests/replay/mod.rs
+++ b/crates/core/tests/replay/mod.rs
@@ -3,7 +3,8 @@
 //! and by calls of `board`.
 
 use bbv_core::admission::{Admission, AdmissionDecision, AdmissionDequeued, AdmissionRequest};
-use bbv_core::room::Room;
+use bbv_core::rank_shares::RankShares;
+use bbv_core::room::{Room, urgency};
 use bbv_core::shedding::{ServiceRoom, Verdict, decide};
 use bbv_core::units::{MS, Micros, SEC};
 use rand::rngs::SmallRng;
@@ -17,6 +18,8 @@
 const COLD_RATE: f64 = 16.0;
 /// Sends of a request until it is refused.
 const SENDS: usize = 4;
+/// Most arrivals of one rank in a millisecond.
+const ARRIVALS: u32 = 8;
 const CALL_TIME: Micros = 42 * MS;
 
 /// One kind of request, by rank.
@@ -65,6 +68,7 @@
     pub report_age: Micros,
     /// Whether the part under test decides.
     pub on: bool,
+    pub seed: u64,
 }
 
 /// Result by rank.
@@ -92,7 +96,10 @@
 }
 
 struct Request {
+    /// Kind, by the rank of its route.
     rank: usize,
+    /// Rank by which gates decide.
+    used_rank: u8,
     born: Micros,
     weight: f64,
     calls_left: u32,
@@ -106,6 +113,8 @@
     request: usize,
     call: bool,
     gate: (usize, usize),
+    /// Number of gates that it has been offered to.
+    sends: usize,
     end: Option<Micros>,
 }
 
@@ -117,6 +126,9 @@
     jobs: Vec<Job>,
     starts: Vec<Vec<Vec<Micros>>>,
     next_id: u64,
+    shares: RankShares,
+    /// Draws what callers do; the same with the part and without it.
+    callers: SmallRng,
     rng: SmallRng,
     tally: Tally,
 }
@@ -138,7 +150,9 @@
             requests: Vec::new(),
             jobs: Vec::new(),
             next_id: 0,
-            rng: SmallRng::seed_from_u64(7),
+            shares: RankShares::default(),
+            callers: SmallRng::seed_from_u64(load.seed),
+            rng: SmallRng::seed_from_u64(load.seed + 1),
             tally: Tally::default(),
         };
         for now in (0..load.length).step_by(MS as usize) {
@@ -159,8 +173,11 @@
         let eased = now >= self.load.eases_at;
         let rates = if eased { self.load.then_per_s } else { self.load.per_s };
         for (rank, rate) in rates.into_iter().enumerate() {
-            if self.rng.random::<f64>() < rate / 1_000.0 {
-                self.arrive(now, rank);
+            let mean = rate * MS as f64 / SEC as f64;
+            for _ in 0..ARRIVALS {
+                if self.callers.random::<f64>() < mean / f64::from(ARRIVALS) {
+                    self.arrive(now, rank);
+                }
             }
         }
         self.end_jobs(now);
@@ -169,51 +186,63 @@
 
     fn arrive(&mut self, now: Micros, rank: usize) {
         let kind = KINDS[rank];
+        let calling = self.callers.random::<f64>() < CALLING_SHARE;
         let eased = now >= self.load.eases_at;
         self.tally.asked[rank] += 1.0;
         self.tally.late_asked[rank] += f64::from(u8::from(eased));
-        let Some(weight) = self.admit(rank) else {
+        let Some((used_rank, weight)) = self.admit(now, rank) else {
             self.tally.shed[rank] += 1.0;
+            self.shares.record(now, rank as u8, false);
             return;
         };
         if rank == 2 {
             *self.tally.passed.last_mut().expect("a span has begun") += 1.0;
         }
-        let calling = self.rng.random::<f64>() < CALLING_SHARE;
         let calls_left = kind.calls.map_or(0, |(_, count)| if calling { count } else { 0 });
         let gate = (kind.service, 0);
-        self.requests.push(Request { rank, born: now, weight, calls_left, gate, job: 0 });
+        self.requests.push(Request {
+            rank,
+            used_rank,
+            born: now,
+            weight,
+            calls_left,
+            gate,
+            job: 0,
+        });
         let request = self.requests.len() - 1;
-        self.send(now, request, false, kind.service);
+        self.send(now, request, false, kind.service, 0);
     }
 
-    fn admit(&mut self, rank: usize) -> Option<f64> {
+    /// Returns the rank and weight of a request that is sent.
+    fn admit(&mut self, now: Micros, rank: usize) -> Option<(u8, f64)> {
         if !self.load.on {
-            return Some(1.0);
+            return Some((rank as u8, 1.0));
         }
         let kind = KINDS[rank];
-        let room = |service: usize| {
-            ServiceRoom::new(self.rooms[service].iter().copied(), rank as u8)
+        let room = |service: usize, call: bool| {
+            ServiceRoom::new(self.rooms[service].iter().copied(), urgency(rank as u8, call))
         };
         let called = kind.calls.and_then(|(service, count)| {
-            Some((room(service)?, f64::from(count) * CALLING_SHARE))
+            Some((room(service, true)?, f64::from(count) * CALLING_SHARE))
         });
         let draws = (self.rng.random(), self.rng.random());
-        match decide(room(kind.service), called, draws.0, draws.1) {
-            Verdict::Admit { weight } => Some(weight),
+        let calls_time = kind.calls.map_or(0, |(_, count)| Micros::from(count) * CALL_TIME);
+        let slack = kind.target - kind.time - calls_time;
+        match decide(room(kind.service, false), called, slack, draws.0, draws.1) {
+            Verdict::Admit { weight } => Some((rank as u8, weight)),
+            Verdict::Refuse { .. } if self.shares.is_shut_out(now, rank as u8) => Some((0, 1.0)),
             Verdict::Refuse { .. } => None,
         }
     }
 
     /// Offers a request or a call to up to [`SENDS`] gates; a call that is refused ends its request.
-    fn send(&mut self, now: Micros, request: usize, call: bool, service: usize) {
-        let Request { rank, born, weight, .. } = self.requests[request];
+    fn send(&mut self, now: Micros, request: usize, call: bool, service: usize, sent: usize) {
+        let Request { rank, used_rank, born, weight, .. } = self.requests[request];
         let (time, deadline) = (KINDS[rank].time, born + KINDS[rank].deadline);
         let (service_time, target) =
             if call { (CALL_TIME, deadline) } else { (time, born + KINDS[rank].target) };
-        // Without the part, calls have the rank of a route that says nothing else.
-        let rank = if call && !self.load.on { 0 } else { rank as u8 };
-        for send in 0..SENDS {
+        let rank = if self.load.on { urgency(used_rank, call) } else { used_rank };
+        for send in sent..SENDS {
             let gate = self.rng.random_range(0..UPSTREAMS[service]);
             self.next_id += 1;
             let id = self.next_id;
@@ -230,14 +259,17 @@
             if !call {
                 (self.requests[request].gate, self.requests[request].job) = ((service, gate), id);
             }
-            self.jobs.push(Job { id, request, call, gate: (service, gate), end: None });
+            let gate = (service, gate);
+            self.jobs.push(Job { id, request, call, gate, sends: send + 1, end: None });
             if decision == AdmissionDecision::Run {
                 self.start(now, id);
             }
             return;
         }
         if call {
-            self.fail(request);
+            self.fail(now, request);
+        } else {
+            self.shares.record(now, self.requests[request].rank as u8, false);
         }
     }
 
@@ -259,8 +291,12 @@
 
     fn end_jobs(&mut self, now: Micros) {
         let due = |job: &Job| job.end.is_some_and(|end| end <= now);
-        let ended: Vec<(usize, bool, (usize, usize), u64)> = self.jobs.iter().filter(|job| due(job))
-            .map(|job| (job.request, job.call, job.gate, job.id)).collect();
+        let ended: Vec<(usize, bool, (usize, usize), u64)> = self
+            .jobs
+            .iter()
+            .filter(|job| due(job))
+            .map(|job| (job.request, job.call, job.gate, job.id))
+            .collect();
         self.jobs.retain(|job| !due(job));
         for (request, call, (service, gate), id) in ended {
             if call {
@@ -270,7 +306,7 @@
             match KINDS[rank].calls {
                 Some((called, _)) if self.requests[request].calls_left > 0 => {
                     self.requests[request].calls_left -= 1;
-                    self.send(now, request, true, called);
+                    self.send(now, request, true, called, 0);
                 }
                 _ => self.complete(now, request),
             }
@@ -280,7 +316,9 @@
     fn complete(&mut self, now: Micros, request: usize) {
         let Request { rank, born, gate: (service, gate), job, .. } = self.requests[request];
         self.gates[service][gate].finish(now, job, KINDS[rank].time);
-        if now > born + KINDS[rank].deadline {
+        let in_time = now <= born + KINDS[rank].deadline;
+        self.shares.record(now, rank as u8, in_time);
+        if !in_time {
             return;
         }
         self.tally.served[rank] += 1.0;
@@ -288,7 +326,8 @@
         self.tally.in_time[rank] += f64::from(u8::from(now <= born + KINDS[rank].target));
     }
 
-    fn fail(&mut self, request: usize) {
+    fn fail(&mut self, now: Micros, request: usize) {
+        self.shares.record(now, self.requests[request].rank as u8, false);
         let Request { rank, gate: (service, gate), job, .. } = self.requests[request];
         self.gates[service][gate].cancel(job);
         self.tally.failed[rank] += 1.0;
@@ -302,18 +341,16 @@
                 for decision in decided {
                     match decision {
                         AdmissionDequeued::Run(id) => self.start(now, id),
-                        AdmissionDequeued::Refuse(id, _) => self.drop_queued(id),
+                        AdmissionDequeued::Refuse(id, _) => self.drop_queued(now, id),
                     }
                 }
             }
         }
     }
 
-    fn drop_queued(&mut self, id: u64) {
+    fn drop_queued(&mut self, now: Micros, id: u64) {
         let Some(at) = self.jobs.iter().position(|job| job.id == id) else { return };
-        let job = self.jobs.swap_remove(at);
-        if job.call {
-            self.fail(job.request);
-        }
+        let Job { request, call, gate: (service, _), sends, .. } = self.jobs.swap_remove(at);
+        self.send(now, request, call, service, sends);
     }
 }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -10,6 +10,7 @@
     self, AdmissionDecision, AdmissionDequeued, AdmissionRefusal, RefusalReason,
 };
 use bbv_core::poison::Suspicion;
+use bbv_core::room::urgency;
 use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros};
 use bbv_platform::header;
@@ -233,15 +234,19 @@
             if self.closing() || other_instance || listed.is_some_and(|up| up.draining) {
                 return refused(closed);
             }
+            let rank = match self.settings.shedding {
+                true => urgency(metadata.rank, metadata.nested),
+                false => metadata.rank,
+            };
             if self.settings.shedding && metadata.weight_pct > 0 {
                 let weight = f64::from(metadata.weight_pct) / 100.0;
-                let (rank, service_time) = (metadata.rank, metadata.service_time);
+                let service_time = metadata.service_time;
                 state.admission.record_demand(arrived, rank, weight, service_time);
             }
             let id = self.next_id();
             let request = admission::AdmissionRequest {
                 id,
-                rank: metadata.rank,
+                rank,
                 deadline: arrived + metadata.timeout,
                 target: arrived + metadata.target,
                 service_time: metadata.service_time,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -156,6 +156,10 @@
         if let (Some(id), true) = (&id, outcome.response.status().is_server_error()) {
             self.lock().local.record_refused_call(id);
         }
+        if let Some(labels) = &guard.labels {
+            let served = outcome.response.status().is_success();
+            self.lock().shares.record(self.now(), labels.rank, served);
+        }
         let latency = self.now() - arrived;
         self.metrics.record_call(guard.labels.as_ref(), outcome.name, latency);
         self.metrics.record_response(outcome.response.status(), outcome.source());
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -45,6 +45,8 @@
     pub target: Micros,
     /// Priority rank; 0 is the highest.
     pub rank: u8,
+    /// Whether a request that runs on the upstream of the ingress made it.
+    pub nested: bool,
     /// Number of requests that it stands for, in percent: more than one if its ingress refuses some, and
     /// none if it was sent before.
     pub weight_pct: u32,
@@ -175,7 +177,7 @@
 impl GateRequest {
     /// Writes the metadata to the headers of a request.
     pub fn write(&self, headers: &mut HeaderMap) {
-        let accept_slow = u8::from(self.accept_slow);
+        let (accept_slow, nested) = (u8::from(self.accept_slow), u8::from(self.nested));
         let value = join(&[
             &self.ingress,
             &self.known.upstreams,
@@ -183,6 +185,7 @@
             &self.timeout,
             &self.target,
             &self.rank,
+            &nested,
             &self.weight_pct,
             &self.service_time,
             &accept_slow,
@@ -207,6 +210,7 @@
             timeout: values.next_time()?,
             target: values.next_time()?,
             rank: values.next()?,
+            nested: values.next_flag()?,
             weight_pct: values.next::<u32>()?.min(MAX_WEIGHT_PCT),
             service_time: values.next_time()?,
             accept_slow: values.next_flag()?,
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -172,7 +172,7 @@
             self.poll_admission();
             self.expire_entries(now);
             let report = self.lock().load_report(now);
-            self.log_room(report.room);
+            self.log_room(now, report.room);
             let (closed, stopping) = (report.closed, self.leaving());
             let urgent_state = UrgentState {
                 speed: report.speed_pct / SPEED_STEP,
--- a/crates/mesh/src/send.rs
+++ b/crates/mesh/src/send.rs
@@ -292,6 +292,7 @@
             timeout: call.deadline.saturating_sub(now + one_way),
             target: target.saturating_sub(now + one_way),
             rank: call.rank,
+            nested: call.nested,
             weight_pct: 100,
             service_time,
             accept_slow,
--- a/crates/mesh/src/shed.rs
+++ b/crates/mesh/src/shed.rs
@@ -2,10 +2,10 @@
 //! need lack room for their rank.
 
 use bbv_core::needs::Needs;
-use bbv_core::room::Room;
+use bbv_core::room::{Room, urgency};
 use bbv_core::route::Name;
 use bbv_core::shedding::{self, ServiceRoom, Verdict};
-use bbv_core::units::Micros;
+use bbv_core::units::{MS, Micros};
 use rand::Rng;
 
 use crate::event::{self, Event};
@@ -16,9 +16,11 @@
 
 /// Name of the outcome of a request that is refused since the services that it needs lack room.
 const SHED: &str = "shed";
+/// Least time between two lines of the log about the room of the upstream.
+const ROOM_LOG_INTERVAL: Micros = 500 * MS;
 
 impl State {
-    /// Returns the room of `service` for the rank of `call`, by the fresh reports of upstreams to
+    /// Returns the room of `service` for requests of `urgency`, by the fresh reports of upstreams to
     /// which `call` may be sent.
     fn service_room(
         &self,
@@ -26,12 +28,13 @@
         settings: &Settings,
         call: &Call,
         service: &str,
+        urgency: u8,
     ) -> Option<ServiceRoom> {
         let usable = self.index.usable(service).iter();
         let usable = usable.filter(|(_, up)| call.homes.allows(settings.region(&up.zone)));
         let stats = usable.filter_map(|(id, _)| self.upstream_stats.get(id));
         let rooms = stats.filter(|stats| !stats.is_closed(now)).filter_map(|up| up.room(now));
-        ServiceRoom::new(rooms, call.rank)
+        ServiceRoom::new(rooms, urgency)
     }
 
     /// Returns the services that requests of the route of `call` call, with their mean number of
@@ -44,7 +47,8 @@
     ) -> Vec<(Name, ServiceRoom, f64)> {
         let needs = self.needs.get(&call.route.name).map(Needs::iter).into_iter().flatten();
         let room = |(service, calls): (&Name, f64)| {
-            let room = self.service_room(now, settings, call, service)?;
+            let urgency = urgency(call.rank, true);
+            let room = self.service_room(now, settings, call, service, urgency)?;
             Some((service.clone(), room, calls))
         };
         needs.filter_map(room).collect()
@@ -52,14 +56,17 @@
 
     /// Decides whether `call` is refused, and returns the service with the least room if it is.
     fn decide(&mut self, now: Micros, settings: &Settings, call: &Call) -> (Verdict, Name) {
-        let service = self.service_room(now, settings, call, &call.service);
+        let urgency = urgency(call.rank, call.nested);
+        let service = self.service_room(now, settings, call, &call.service, urgency);
         let called = self.called_rooms(now, settings, call);
         let least = called.iter().min_by(|a, b| a.1.share.total_cmp(&b.1.share));
         let scarce = least.filter(|least| service.is_none_or(|own| least.1.share < own.share));
         let scarce = scarce.map_or(&call.service, |(service, _, _)| service).clone();
         let (draw, spread) = (self.rng.random::<f64>(), self.rng.random::<f64>());
         let calls = called.iter().map(|(_, room, calls)| (*room, *calls));
-        (shedding::decide(service, calls, draw, spread), scarce)
+        let needed = self.profile(&call.route).service_time as Micros;
+        let slack = (call.arrived + call.route.target).saturating_sub(now + needed);
+        (shedding::decide(service, calls, slack, draw, spread), scarce)
     }
 }
 
@@ -77,6 +84,11 @@
                 call.weight = weight;
                 None
             }
+            // Its calls follow it, so it is served.
+            Verdict::Refuse { .. } if self.lock().shares.is_shut_out(now, call.rank) => {
+                call.rank = 0;
+                None
+            }
             Verdict::Refuse { retry_after } => {
                 self.record_shed(call, &scarce, retry_after);
                 Some(CallOutcome::refused(SHED, retry_after))
@@ -84,12 +96,15 @@
         }
     }
 
-    /// Logs the room of the upstream beside this node when it changes by a rank or more.
-    pub(crate) fn log_room(&self, room: Room) {
-        let was = std::mem::replace(&mut self.lock().logged_room, room.ranks());
-        if was == room.ranks() {
+    /// Logs the room of the upstream beside this node when it has changed by a rank or more.
+    pub(crate) fn log_room(&self, now: Micros, room: Room) {
+        let mut state = self.lock();
+        let (at, was) = state.logged_room;
+        if was == room.ranks() || now < at + ROOM_LOG_INTERVAL {
             return;
         }
+        state.logged_room = (now, room.ranks());
+        drop(state);
         event::info(
             Event::RoomChanged,
             &[("was", &was), ("level_pct", &room.level_pct), ("lack_ms", &room.lack_ms)],
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -15,6 +15,7 @@
 use bbv_core::peer::Peer;
 use bbv_core::placement::{LoadReport, UpstreamStats};
 use bbv_core::poison::Suspects;
+use bbv_core::rank_shares::RankShares;
 use bbv_core::readers::Readers;
 use bbv_core::retry_budget::RetryBudget;
 use bbv_core::room::Room;
@@ -126,6 +127,8 @@
     pub made: HashMap<Name, Needs>,
     /// Calls of requests, as told by gates, by route.
     pub needs: HashMap<Name, Needs>,
+    /// How often requests of callers were served, by rank.
+    pub shares: RankShares,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<Name, RetryBudget>,
     /// Pauses of this process.
@@ -151,8 +154,9 @@
     pub readers: Readers,
     /// Whether this node was a reader in the latest line of the log about that.
     pub logged_reader: bool,
-    /// Ranks that the upstream has room for, in the latest line of the log about that.
-    pub logged_room: u16,
+    /// Time of the latest line of the log about the room of the upstream, and the ranks that it had
+    /// room for.
+    pub logged_room: (Micros, u16),
     /// Outage of the store, as seen by this node or told by others of its zone.
     pub outage: Outage,
     /// Random number generator for choices.
@@ -181,6 +185,7 @@
             profiles: HashMap::new(),
             made: HashMap::new(),
             needs: HashMap::new(),
+            shares: RankShares::default(),
             pauses: Pauses::new(now),
             retry_budgets: HashMap::new(),
             suspects: Suspects::default(),
@@ -193,7 +198,7 @@
             transfer: RoutingTransfer::default(),
             readers: Readers::new(u64::from(vm), &settings.zone),
             logged_reader: false,
-            logged_room: Room::default().ranks(),
+            logged_room: (0, Room::default().ranks()),
             outage: Outage::default(),
             rng,
         }
