--- a/crates/mesh/src/credential.rs
+++ b/crates/mesh/src/credential.rs
@@ -82,7 +82,7 @@
             return Sender::Caller(key.to_str().ok());
         }
         match head.headers.get(header::ATTEMPT_ID) {
-            Some(id) if self.lock().local.is_call(id) => Sender::RunningRequest,
+            Some(id) if self.lock().local.parent(id).is_some() => Sender::RunningRequest,
             Some(id) if id.as_bytes().contains(&CALL_MARK) => Sender::EndedRequest,
             _ => Sender::Caller(None),
         }
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -51,6 +51,10 @@
     RegionLost,
     /// Settings were read again.
     Reloaded,
+    /// The room of the upstream beside the node changed by a rank or more.
+    RoomChanged,
+    /// A request of a caller was refused since the services that it needs lack room.
+    Shed,
     /// The node started.
     Started,
     /// The node stopped.
@@ -102,6 +106,8 @@
     Event::RegionBack,
     Event::RegionLost,
     Event::Reloaded,
+    Event::RoomChanged,
+    Event::Shed,
     Event::Started,
     Event::Stopped,
     Event::Stopping,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -51,6 +51,8 @@
     /// Whether a request that runs on the upstream of this node made it. It is worth what that
     /// request is worth for as long as it can be answered.
     pub nested: bool,
+    /// Number of requests that it stands for, if this node refuses some of its kind.
+    pub weight: f64,
     /// Arrival time.
     pub arrived: Micros,
     /// Time after which the caller no longer waits for a response.
@@ -146,9 +148,12 @@
             Ok(call) if self.may_cut_off(call.deadline) => {
                 CallOutcome::refused("stopping", DEFAULT_RETRY_AFTER)
             }
-            Ok(call) => {
+            Ok(mut call) => {
                 guard.labels = Some(RouteLabels { service: call.service.clone(), rank: call.rank });
-                self.send_within_quota(call).await
+                match self.shed(&mut call) {
+                    Some(refused) => refused,
+                    None => self.send_within_quota(call).await,
+                }
             }
             Err(outcome) => outcome,
         };
@@ -156,6 +161,10 @@
         if let (Some(id), true) = (&id, outcome.response.status().is_server_error()) {
             self.lock().local.record_refused_call(id);
         }
+        if let Some(labels) = &guard.labels {
+            let served = outcome.response.status().is_success();
+            self.lock().shares.record(self.now(), labels.rank, served);
+        }
         let latency = self.now() - arrived;
         self.metrics.record_call(guard.labels.as_ref(), outcome.name, latency);
         self.metrics.record_response(outcome.response.status(), outcome.source());
@@ -240,27 +249,43 @@
         let homes = organisation
             .as_ref()
             .map_or_else(|| route.homes.clone(), |known| route.homes.and(&known.homes));
-        let (service, nested) = {
+        let service = {
             let mut state = self.lock();
             let service = state.splitter.next(&route);
-            let service = state.home_service(&self.settings, &route, &homes, service);
-            (service, state.local.is_call(&attempt_id))
+            state.home_service(&self.settings, &route, &homes, service)
         };
-        Ok(Call {
+        let mut call = Call {
             route,
             service,
             rank,
             homes,
             organisation,
             attempt_id,
-            nested,
+            nested: false,
+            weight: 1.0,
             arrived,
             deadline,
             fingerprint,
             routing_version,
             head,
             body,
-        })
+        };
+        self.follow_parent(&mut call);
+        Ok(call)
+    }
+
+    /// Gives a call of a request that runs on the upstream of this node the rank, deadline and
+    /// weight of that request, unless its own rank is less urgent or its own deadline earlier.
+    fn follow_parent(&self, call: &mut Call) {
+        let mut state = self.lock();
+        let Some(parent) = state.local.parent(&call.attempt_id) else { return };
+        parent.record_call(&call.service);
+        call.nested = true;
+        if self.settings.shedding {
+            call.rank = call.rank.max(parent.rank);
+            call.deadline = call.deadline.min(parent.deadline);
+            call.weight = parent.weight;
+        }
     }
 
     async fn read_body(
@@ -293,7 +318,7 @@
     head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok())
 }
 
-/// Finds the route of a request.
+/// Returns the route of a request.
 pub(crate) fn find_route(routing: &Routing, head: &Parts) -> Option<Arc<Route>> {
     routing.find(host(head)?, head.uri.path()).cloned()
 }
