Order what nodes know by the store's era and revision

Cause: a store that comes back from an older copy gives revisions out again under a new `Store-Era`.

Change: a revision is a position, the era in its upper bits. An answer of another era than the position asked from is a lost history. A listing that begins an era starts the registration grace, and takes back no zone out of service, no draining and no departure before its time. Event store-restored and gauge bbv_store_era.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
 //!   [`freshness`], [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`], [`placement`], [`readers`],
-//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
+//!   [`restoration`], [`retry_budget`], [`revision`], [`route`], [`routing_change`], [`routing_page`], [`slow_period`] and
 //!   [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
@@ -47,7 +47,9 @@
 pub mod readers;
 pub mod reconciliation;
 pub mod rendezvous;
+pub mod restoration;
 pub mod retry_budget;
+pub mod revision;
 pub mod route;
 pub mod routing_change;
 pub mod routing_page;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::restoration::Restoration;
+use crate::revision::begins_era;
 use crate::route::{Name, Routing};
 use crate::units::{Micros, Revision, SEC};
 
@@ -108,6 +110,7 @@
     pub out: BTreeSet<Name>,
     expired: BTreeMap<Name, Micros>,
     grace_end: Micros,
+    restoration: Restoration,
 }
 
 /// Time after an outage of the platform within which upstreams whose entries expired register
@@ -192,6 +195,7 @@
             Update::Upstream(id, Some(upstream)) => self.set_upstream(id, upstream),
             Update::Upstream(id, None) => self.remove_upstream(now, id),
             Update::Zone(zone, out) => {
+                self.restoration.release_zone(&zone);
                 let changed =
                     if out { self.out.insert(zone.clone()) } else { self.out.remove(&zone) };
                 if changed { Effect::Zone(zone, out) } else { Effect::Unchanged }
@@ -221,22 +225,30 @@
         Effect::RoutingReplaced(version)
     }
 
-    fn set_upstream(&mut self, id: Name, upstream: PublishedUpstream) -> Effect {
+    fn set_upstream(&mut self, id: Name, mut upstream: PublishedUpstream) -> Effect {
         self.expired.remove(&id);
-        if self.upstreams.get(&id) == Some(&upstream) {
-            return Effect::Unchanged;
+        self.restoration.forget(&id);
+        if let Some(known) = self.upstreams.get(&id) {
+            // A process that is shutting down does not return; an older copy may say otherwise.
+            let same_start = known.born.is_some() && known.born == upstream.born;
+            upstream.draining |= same_start && known.draining;
+            if *known == upstream {
+                return Effect::Unchanged;
+            }
         }
         self.upstreams.insert(id.clone(), upstream);
         Effect::UpstreamUpdated(id)
     }
 
     fn remove_upstream(&mut self, now: Micros, id: Name) -> Effect {
+        self.restoration.forget(&id);
         let Some(upstream) = self.upstreams.get(&id) else { return Effect::Unchanged };
         if now < self.grace_end && !upstream.draining {
             self.expired.insert(id.clone(), self.grace_end);
             return Effect::UpstreamExpired(id);
         }
         self.expired.remove(&id);
+        self.restoration.record_departure(now, id.clone(), upstream);
         self.upstreams.remove(&id);
         Effect::UpstreamRemoved(id)
     }
@@ -275,7 +287,8 @@
     /// Replaces `topic` by a complete listing as of `revision`.
     ///
     /// Upstreams that the listing lacks are removed, or kept for the grace period; zones that it
-    /// lacks return to service. Returns the effects.
+    /// lacks return to service. A listing of a later era comes from an older copy of the store: it
+    /// begins a grace period and takes back neither departures nor zones at once. Returns the effects.
     ///
     /// ```
     /// use bbv_core::view::{Topic, View};
@@ -288,9 +301,20 @@
         revision: Revision,
         listing: Vec<Update>,
     ) -> Vec<Effect> {
-        let missing = match topic {
-            Topic::Upstreams => self.missing_upstreams(&listing),
-            Topic::Control => self.missing_zones(&listing),
+        let (listing, missing) = match topic {
+            Topic::Upstreams => {
+                let restored = begins_era(self.through, revision);
+                if restored {
+                    self.platform_recovered(now);
+                }
+                let listing = self.restoration.filter(now, restored, listing);
+                let missing = self.missing_upstreams(&listing);
+                (listing, missing)
+            }
+            Topic::Control => {
+                let missing = self.missing_zones(now, revision, &listing);
+                (listing, missing)
+            }
         };
         let zones_known = topic == Topic::Control && revision < self.zones_through;
         self.advance(topic, revision);
@@ -336,23 +360,45 @@
         missing.into_iter().map(|id| Update::Upstream(id, None)).collect()
     }
 
-    fn missing_zones(&self, listing: &[Update]) -> Vec<Update> {
-        let mut restored = self.out.clone();
+    /// Returns the zones that return to service, since `listing` as of `revision` lacks them. If that
+    /// begins an era, they stay out of service for a while.
+    fn missing_zones(
+        &mut self,
+        now: Micros,
+        revision: Revision,
+        listing: &[Update],
+    ) -> Vec<Update> {
+        let mut missing = self.out.clone();
         for update in listing {
             if let Update::Zone(zone, true) = update {
-                restored.remove(zone);
+                missing.remove(zone);
             }
         }
-        restored.into_iter().map(|zone| Update::Zone(zone, false)).collect()
+        if begins_era(self.zones_through, revision) {
+            missing.iter().for_each(|zone| self.restoration.hold_zone(now, zone.clone()));
+        }
+        missing.retain(|zone| !self.restoration.holds_zone(zone));
+        missing.into_iter().map(|zone| Update::Zone(zone, false)).collect()
+    }
+
+    /// Returns the zones that only stay out of service since an older copy of the store lacks them,
+    /// with the time left for each.
+    ///
+    /// ```
+    /// assert!(bbv_core::view::View::default().held_zones(0).is_empty());
+    /// ```
+    pub fn held_zones(&self, now: Micros) -> BTreeMap<Name, Micros> {
+        self.restoration.held_zones(now)
     }
 
     /// Replaces the zones out of service by those that a peer knows as of `revision`, if its
-    /// knowledge of them is newer. Returns the effects.
+    /// knowledge of them is newer. The peer only holds those in `held`, each for the time left.
+    /// Returns the effects.
     ///
     /// ```
     /// use bbv_core::view::{Effect, View};
     /// let mut view = View::default();
-    /// let effects = view.update_zones(0, 4, ["z".into()].into());
+    /// let effects = view.update_zones(0, 4, ["z".into()].into(), &Default::default());
     /// assert_eq!(effects, [Effect::Zone("z".into(), true)]);
     /// ```
     pub fn update_zones(
@@ -360,15 +406,20 @@
         now: Micros,
         revision: Revision,
         out: BTreeSet<Name>,
+        held: &BTreeMap<Name, Micros>,
     ) -> Vec<Effect> {
         if revision <= self.zones_through {
             return Vec::new();
         }
-        self.zones_through = revision;
         let listing: Vec<Update> = out.into_iter().map(|zone| Update::Zone(zone, true)).collect();
-        let restored = self.missing_zones(&listing);
-        let effects = listing.into_iter().chain(restored).map(|update| self.apply(now, update));
-        effects.filter(|effect| *effect != Effect::Unchanged).collect()
+        let missing = self.missing_zones(now, revision, &listing);
+        self.zones_through = revision;
+        let effects = listing.into_iter().chain(missing).map(|update| self.apply(now, update));
+        let effects = effects.filter(|effect| *effect != Effect::Unchanged).collect();
+        for (zone, left) in held.iter().filter(|(zone, _)| self.out.contains(*zone)) {
+            self.restoration.limit_zone(now, zone.clone(), *left);
+        }
+        effects
     }
 
     /// Replaces the upstreams by those that a peer knows as of `through`, if its knowledge is newer.
@@ -433,8 +484,36 @@
         let due: Vec<Name> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
             self.expired.remove(id);
-            self.upstreams.remove(id);
+            if let Some(upstream) = self.upstreams.remove(id) {
+                self.restoration.record_departure(now, id.clone(), &upstream);
+            }
         }
         due
     }
+
+    /// Returns the upstreams as the store lists them: also those that had left and that an older
+    /// copy of the store shows again.
+    ///
+    /// ```
+    /// assert!(bbv_core::view::View::default().listed().is_empty());
+    /// ```
+    pub fn listed(&self) -> BTreeMap<Name, PublishedUpstream> {
+        let listed = self.upstreams.iter().chain(self.restoration.doubted());
+        listed.map(|(id, upstream)| (id.clone(), upstream.clone())).collect()
+    }
+
+    /// Ends what was held against an older copy of the store for as long as intended. Returns the
+    /// effects.
+    ///
+    /// ```
+    /// assert!(bbv_core::view::View::default().end_holds(0).is_empty());
+    /// ```
+    pub fn end_holds(&mut self, now: Micros) -> Vec<Effect> {
+        let believed = self.restoration.take_believed(now);
+        let added = believed.into_iter().map(|(id, upstream)| Update::Upstream(id, Some(upstream)));
+        let zones = self.restoration.take_returned(now);
+        let returned = zones.into_iter().map(|zone| Update::Zone(zone, false));
+        let updates: Vec<Update> = added.chain(returned).collect();
+        updates.into_iter().map(|update| self.apply(now, update)).collect()
+    }
 }
--- a/crates/core/tests/routing_pages.rs
+++ b/crates/core/tests/routing_pages.rs
@@ -49,9 +49,9 @@
 #[test]
 fn older_listing_does_not_undo_a_newer_evacuation() {
     let mut view = View::default();
-    view.update_zones(0, 120, ["z".into()].into());
+    view.update_zones(0, 120, ["z".into()].into(), &BTreeMap::new());
     view.replace(0, Topic::Control, 110, Vec::new());
-    view.update_zones(0, 120, ["z".into()].into());
+    view.update_zones(0, 120, ["z".into()].into(), &BTreeMap::new());
     view.advance(Topic::Control, 120);
     assert!(view.out.contains("z"), "zones as of 120 are known, and z is out as of 120");
 }
@@ -61,10 +61,10 @@
 fn older_watch_does_not_undo_a_newer_evacuation() {
     let mut view = View::default();
     view.advance(Topic::Control, 100);
-    view.update_zones(0, 120, ["z".into()].into());
+    view.update_zones(0, 120, ["z".into()].into(), &BTreeMap::new());
     let restored = ViewChange { revision: 105, update: Update::Zone("z".into(), false) };
     view.apply_changes(0, Topic::Control, 110, vec![restored]);
-    view.update_zones(0, 120, ["z".into()].into());
+    view.update_zones(0, 120, ["z".into()].into(), &BTreeMap::new());
     assert!(view.out.contains("z"));
 }
 
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -32,10 +32,11 @@
 /// Time before a request within which a state change may have caused its failure.
 const CONTEXT_MS: u64 = 5_000;
 /// Events that change a node's state or its view of the store, the routes and the upstreams.
-const CONTEXT_EVENTS: [&str; 8] = [
+const CONTEXT_EVENTS: [&str; 9] = [
     "store-forgot",
     "store-lost",
     "store-regained",
+    "store-restored",
     "stopping",
     "upstream-crashed",
     "upstream-down",
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -51,6 +51,8 @@
     StoreLost,
     /// The store can be read again.
     StoreRegained,
+    /// The store has come back from an older copy.
+    StoreRestored,
     /// A background task panicked and was started again.
     TaskPanicked,
     /// An attempt to send a request to a gate failed.
@@ -68,7 +70,7 @@
 }
 
 /// All events, in the order of declaration.
-pub const EVENTS: [Event; 28] = [
+pub const EVENTS: [Event; 29] = [
     Event::AcceptFailed,
     Event::Call,
     Event::CallBroken,
@@ -90,6 +92,7 @@
     Event::StoreForgot,
     Event::StoreLost,
     Event::StoreRegained,
+    Event::StoreRestored,
     Event::TaskPanicked,
     Event::Tried,
     Event::UpstreamCrashed,
--- a/crates/mesh/src/exchange.rs
+++ b/crates/mesh/src/exchange.rs
@@ -56,7 +56,7 @@
 enum UpstreamsContent {
     /// Changes after the requested revision.
     Changes(Vec<ViewChange>),
-    /// All upstreams, sent when the history no longer covers the requested revision.
+    /// All listed upstreams, sent when the history no longer covers the requested revision.
     Snapshot(BTreeMap<Name, PublishedUpstream>),
 }
 
@@ -71,6 +71,9 @@
     zones_through: Revision,
     /// Zones out of service.
     out: BTreeSet<Name>,
+    /// Zones that only stay out of service since an older copy of the store lacks them, each with the
+    /// time left.
+    held: BTreeMap<Name, Micros>,
     /// Next page, unless the peer has the routing.
     page: Option<RoutingPage>,
 }
@@ -189,6 +192,7 @@
             state.upstreams.freshness.confirm(asked, age);
         }
         drop(state);
+        self.log_restored("peer", Topic::Upstreams, since);
         self.view_changed("peer", Topic::Upstreams, &effects);
         Ok(())
     }
@@ -238,10 +242,12 @@
     /// Applies the reply of a peer that was asked at `asked`.
     fn apply_control(&self, asked: Micros, reply: ControlReply) -> PullStep {
         let now = self.now();
+        let known = self.revision(Topic::Control);
         let (effects, step) = {
             let mut state = self.lock();
             let state = &mut *state;
-            let mut effects = state.view.update_zones(now, reply.zones_through, reply.out);
+            let mut effects =
+                state.view.update_zones(now, reply.zones_through, reply.out, &reply.held);
             let result = reply.page.map(|page| state.transfer.add(page, &state.routings));
             let added = result != Some(PageResult::Ignored);
             match result {
@@ -269,6 +275,7 @@
             };
             (effects, step)
         };
+        self.log_restored("peer", Topic::Control, known);
         self.view_changed("peer", Topic::Control, &effects);
         step
     }
@@ -352,7 +359,7 @@
             }
             let content = match state.history.since(since) {
                 Some(changes) => UpstreamsContent::Changes(changes),
-                None => UpstreamsContent::Snapshot(state.view.upstreams.clone()),
+                None => UpstreamsContent::Snapshot(state.view.listed()),
             };
             UpstreamsReply {
                 through: state.view.through,
@@ -389,6 +396,7 @@
                 age: state.age(now, Topic::Control),
                 zones_through: state.view.zones_through,
                 out: state.view.out.clone(),
+                held: state.view.held_zones(now),
                 page,
             }
         };
--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -370,6 +370,7 @@
 
     fn apply_listing(&self, topic: Topic, listing: Changes) {
         let now = self.now();
+        let known = self.revision(topic);
         let effects = {
             let mut state = self.lock();
             if listing.through < state.view.revision(topic) {
@@ -385,6 +386,7 @@
             state.record_routing();
             effects
         };
+        self.log_restored("store", topic, known);
         self.view_changed("store", topic, &effects);
     }
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -39,6 +39,8 @@
     pub revision: IntGauge,
     /// Latest known revision of the routing and of zones.
     pub control_revision: IntGauge,
+    /// Era of the store, which rises when it comes back from an older copy.
+    pub era: IntGauge,
     /// Age of what is known of upstreams, in seconds.
     pub upstreams_age: Gauge,
     /// Age of what is known of the routing and of zones, in seconds.
@@ -152,6 +154,7 @@
                 "bbv_control_revision",
                 "Latest known revision of the routing and of zones.",
             ),
+            era: gauge("bbv_store_era", "Era of the store."),
             running: gauge("bbv_running", "Requests running on the upstream."),
             queued: gauge("bbv_queued", "Requests queued for the upstream."),
             cold: gauge("bbv_cold", "Whether the upstream is cold."),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -8,6 +8,7 @@
 
 use bbv_core::admission::AdmissionDequeued;
 use bbv_core::body_budget::BodyBudget;
+use bbv_core::revision;
 use bbv_core::route::{CallerLimits, Name};
 use bbv_core::units::{MS, Micros, Revision, SEC};
 use bbv_core::view::{Effect, Topic};
@@ -210,6 +211,25 @@
         self.poll_admission();
     }
 
+    /// Logs that the store has come back from an older copy, if `topic`, known up to `known` before, is
+    /// of a later era now.
+    pub(crate) fn log_restored(&self, source: &str, topic: Topic, known: Revision) {
+        let now_known = self.revision(topic);
+        if !revision::begins_era(known, now_known) {
+            return;
+        }
+        let (era, number) = (revision::era(now_known), revision::number(now_known));
+        let (topic, was) = (topic.name(), revision::number(known));
+        let values: [(&str, &dyn std::fmt::Display); 5] = [
+            ("source", &source),
+            ("topic", &topic),
+            ("era", &era),
+            ("revision", &number),
+            ("was", &was),
+        ];
+        event::warn(Event::StoreRestored, &values);
+    }
+
     /// Starts or refuses queued requests that are due.
     pub(crate) fn poll_admission(&self) {
         let now = self.now();
@@ -241,8 +261,9 @@
         let seconds = |since: Micros| now.saturating_sub(since) as f64 / SEC as f64;
         metrics.routing_version.set(version as i64);
         metrics.routing_age.set(seconds(state.routed_at));
-        metrics.revision.set(state.view.through as i64);
-        metrics.control_revision.set(state.view.control as i64);
+        metrics.revision.set(revision::number(state.view.through) as i64);
+        metrics.control_revision.set(revision::number(state.view.control) as i64);
+        metrics.era.set(i64::from(revision::era(state.view.through.min(state.view.control))));
         let age =
             |topic| state.age(now, topic).map_or(f64::INFINITY, |age| age as f64 / SEC as f64);
         metrics.upstreams_age.set(age(Topic::Upstreams));
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -7,8 +7,9 @@
 use bbv_core::id::Vm;
 use bbv_core::placement::LoadReport;
 use bbv_core::poison::Crash;
+use bbv_core::revision::begins_era;
 use bbv_core::units::{MS, Micros, Revision};
-use bbv_core::view::Topic;
+use bbv_core::view::{Effect, Topic};
 use rand::seq::{IteratorRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -189,10 +190,16 @@
     }
 
     fn expire_entries(&self, now: Micros) {
-        let expired = self.lock().view.expire(now);
-        let effects: Vec<_> =
-            expired.into_iter().map(bbv_core::view::Effect::UpstreamExpired).collect();
+        let (expired, ended) = {
+            let mut state = self.lock();
+            (state.view.expire(now), state.view.end_holds(now))
+        };
+        let (zones, returned): (Vec<_>, Vec<_>) =
+            ended.into_iter().partition(|effect| matches!(effect, Effect::Zone(..)));
+        let expired = expired.into_iter().map(Effect::UpstreamExpired);
+        let effects: Vec<_> = expired.chain(returned).collect();
         self.view_changed("lapse", Topic::Upstreams, &effects);
+        self.view_changed("lapse", Topic::Control, &zones);
     }
 
     /// Returns the nodes that sent requests recently, either of this zone or of other zones.
@@ -390,15 +397,17 @@
         }
     }
 
-    /// Confirms what this node knows by what `notice` tells, if its sender knows no more.
+    /// Confirms what this node knows by what `notice` tells, if its sender knows no more. A sender that
+    /// knows an older era cannot tell what the store has written since.
     fn confirm_known(&mut self, now: Micros, notice: &Notice) {
         let own = self.known();
-        if notice.revision <= own.upstreams {
+        let confirms = |told, known| told <= known && !begins_era(told, known);
+        if confirms(notice.revision, own.upstreams) {
             self.upstreams.freshness.confirm(now, notice.upstreams_age);
             // A reader knows what the store knows.
             self.upstreams.confirmed |= notice.reads && own.upstreams > 0;
         }
-        if notice.control <= own.control {
+        if confirms(notice.control, own.control) {
             self.control.freshness.confirm(now, notice.control_age);
             self.control.confirmed |= notice.reads && self.view.routing.is_some();
         }
