Let the soak's store come back from older copies

Cause: the soak knew no store that loses what it has acknowledged.

Change: drills draw a copy, a moment without the store, its return from the copy and the time at which the lost changes are written again, with a generator of their own, so that the other faults of a seed stay. Seeds that are tests already run without them, and 40007 with them.

--- a/crates/soak/src/bursts.rs
+++ b/crates/soak/src/bursts.rs
@@ -37,6 +37,12 @@
     Mute(bool),
     /// The store forgets its history and cuts all watches, which hear of changes again.
     Forget,
+    /// The store is copied.
+    Copy,
+    /// The store comes back from the copy, and answers again.
+    Restore,
+    /// What the store has lost is written again.
+    WriteAgain,
 }
 
 /// Step of a burst.
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -10,11 +10,13 @@
 
 use bbv_stand::fleet::Fleet;
 use bbv_stand::proxy::Mode;
+use bbv_stand::store::StoreCopy;
 use eyre::Result;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::bursts::{self, Action, Step};
+use crate::drills;
 use crate::faults::{self, Fault, Node};
 use crate::growth;
 use crate::history::History;
@@ -47,6 +49,11 @@
 /// XORed with the seed of a run to seed the faults of the store.
 const STORE_SEED_MASK: u64 = 0x5_70fe;
 
+/// Probability that a drill starts along with a fault.
+const DRILL_PROBABILITY: f64 = 0.2;
+/// XORed with the seed of a run to seed the drills.
+const DRILL_SEED_MASK: u64 = 0xe7a;
+
 /// Injects faults into the nodes of a fleet.
 pub struct Injector<'a> {
     fleet: &'a Fleet,
@@ -68,6 +75,12 @@
     next_store: Duration,
     /// Time from which the next silent outage may start.
     next_outage: Duration,
+    /// Time from which the next drill may start.
+    next_drill: Duration,
+    /// Copy of the store, while a drill lasts.
+    copy: Option<StoreCopy>,
+    /// What the store has lost in a drill.
+    lost: Option<StoreCopy>,
     /// Steps of bursts to come, the latest first.
     steps: Vec<Step>,
 }
@@ -97,6 +110,9 @@
             next_series: Duration::ZERO,
             next_store: Duration::ZERO,
             next_outage: Duration::ZERO,
+            next_drill: Duration::ZERO,
+            copy: None,
+            lost: None,
             steps: Vec::new(),
         })
     }
@@ -110,6 +126,7 @@
         let mut growth_rng = SmallRng::seed_from_u64(options.seed ^ GROWTH_SEED_MASK);
         let mut store_rng = SmallRng::seed_from_u64(options.seed ^ STORE_SEED_MASK);
         let mut outage_rng = SmallRng::seed_from_u64(options.seed ^ OUTAGE_SEED_MASK);
+        let mut drill_rng = SmallRng::seed_from_u64(options.seed ^ DRILL_SEED_MASK);
         // Faults that reset connections to the store hide calls that an outage has silenced.
         let only_outages = options.site && options.seed.is_multiple_of(2);
         let pauses = if only_outages { OUTAGE_PAUSES } else { 1 };
@@ -132,6 +149,9 @@
             if !only_outages && store_rng.random_bool(STORE_PROBABILITY) {
                 self.add_store_fault(&mut store_rng);
             }
+            if options.drills && drill_rng.random_bool(DRILL_PROBABILITY) {
+                self.add_drill(&mut drill_rng);
+            }
             if options.site {
                 self.add_outage(&mut outage_rng, options.routes);
             }
@@ -140,6 +160,7 @@
             }
         }
         self.mute(false);
+        self.write_again();
         self.set_outage(false);
         self.cut_zone(false);
         for node in 0..self.nodes.len() {
@@ -180,6 +201,17 @@
         }
     }
 
+    /// Adds a drill if the last one is long enough ago.
+    fn add_drill(&mut self, rng: &mut SmallRng) {
+        let now = self.started.elapsed();
+        let steps = drills::draw(rng, now);
+        if now >= self.next_drill {
+            self.next_drill = now + drills::MIN_PAUSE;
+            self.steps.extend(steps);
+            self.steps.sort_by_key(|step| Reverse(step.at));
+        }
+    }
+
     /// Waits for `pause`, and takes the steps of bursts that are due meanwhile.
     async fn wait(&mut self, pause: Duration) -> Result<()> {
         let end = self.started.elapsed() + pause;
@@ -202,6 +234,9 @@
                 | Action::Mute(_)
                 | Action::Forget
                 | Action::Outage(_)
+                | Action::Copy
+                | Action::Restore
+                | Action::WriteAgain
                 | Action::CutZone(_) => self.disturb_links(step.action)?,
             }
         }
@@ -261,6 +296,12 @@
             Action::Mute(muted) => self.mute(muted),
             Action::Outage(away) => self.set_outage(away),
             Action::CutZone(cut) => self.cut_zone(cut),
+            Action::Copy => self.copy = Some(self.fleet.store.copy()),
+            Action::Restore => self.restore(),
+            Action::WriteAgain => {
+                self.write_again();
+                self.set_outage(false);
+            }
             Action::Forget => {
                 self.fleet.store.drop_history();
                 self.nodes.iter().for_each(|node| node.store_proxy.reset_open());
@@ -271,6 +312,24 @@
         Ok(())
     }
 
+    /// Lets the store come back from the copy. Nodes count as disturbed until what it has lost is written
+    /// again.
+    fn restore(&mut self) {
+        let Some(copy) = &self.copy else { return };
+        self.lost = Some(self.fleet.store.restore(copy));
+        for node in self.nodes.iter() {
+            *node.store_proxy.mode.lock() = Mode::Pass;
+            node.store_proxy.reset_open();
+        }
+    }
+
+    /// Writes again what the store has lost.
+    fn write_again(&mut self) {
+        if let (Some(copy), Some(lost)) = (self.copy.take(), self.lost.take()) {
+            self.fleet.store.write_again(&lost, &copy);
+        }
+    }
+
     /// Makes the store silent for all nodes or ends that.
     fn set_outage(&self, away: bool) {
         for node in self.nodes.iter() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod calm;
 pub mod checker;
 pub mod cold;
+pub mod drills;
 pub mod faults;
 pub mod force;
 pub mod growth;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,7 +13,7 @@
 bbv-soak: runs bbv-mesh nodes under seeded faults and checks their guarantees from outside
 
 usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--routes N]
-    [--zones N] [--site] [--folder PATH]
+    [--zones N] [--site] [--no-drills] [--folder PATH]
 
 exit codes: 0 all guarantees held, 1 one was violated or a run failed, 2 bad usage
 ";
@@ -28,6 +28,7 @@
     options.optopt("", "nodes", "number of nodes of each run", "N");
     options.optopt("", "routes", "largest number of routes that configurations add", "N");
     options.optopt("", "zones", "number of zones, up to 5", "N");
+    options.optflag("", "no-drills", "the store never comes back from an older copy");
     options.optflag("", "site", "links like a deployment's, and outages of the whole store");
     options.optopt("", "folder", "folder for settings and logs", "PATH");
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -69,6 +70,7 @@
             routes: number(matches, "routes", MAX_ROUTES as u64)? as usize,
             zones: number(matches, "zones", 2)? as usize,
             site: matches.opt_present("site"),
+            drills: !matches.opt_present("no-drills"),
             duration: Duration::from_secs(number(matches, "seconds", 12)?),
             program: PathBuf::from(&program),
             folder: PathBuf::from(&folder).join(seed.to_string()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -47,6 +47,8 @@
     pub zones: usize,
     /// Whether the fleet has links like those of a deployment, and outages of the whole store come.
     pub site: bool,
+    /// Whether the store comes back from older copies.
+    pub drills: bool,
     /// Path of the `bbv-mesh` program.
     pub program: PathBuf,
     /// Folder for settings and logs.
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -10,10 +10,23 @@
 /// Runs `seed` for `duration`, with configurations that add up to `routes` routes, and checks that
 /// no guarantee is violated.
 fn check_seed(program: &Path, seed: u64, duration: Duration, routes: usize) {
+    check(program, seed, duration, routes, false);
+}
+
+fn check(program: &Path, seed: u64, duration: Duration, routes: usize, drills: bool) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{seed}-{routes}"));
     let program = program.to_owned();
-    let options =
-        RunOptions { seed, nodes: 4, zones: 2, site: false, routes, duration, program, folder };
+    let options = RunOptions {
+        seed,
+        nodes: 4,
+        zones: 2,
+        site: false,
+        drills,
+        routes,
+        duration,
+        program,
+        folder,
+    };
     let runtime = tokio::runtime::Runtime::new().expect("could not start the runtime");
     let report = runtime.block_on(run(&options)).expect("could not finish the run");
     assert!(report.violations.is_empty(), "seed {seed}: {report}");
@@ -54,6 +67,7 @@
         nodes: 10,
         zones: 3,
         site: true,
+        drills: false,
         routes: 200,
         duration,
         program,
@@ -70,3 +84,9 @@
 fn changes_are_in_force_in_time_under_seeded_faults() {
     check_seed(&program::build(), 1, Duration::from_secs(8), 1);
 }
+
+/// The store is away for a moment and comes back from older copies, whose lost changes are written again.
+#[test]
+fn guarantees_hold_when_the_store_comes_back_from_older_copies() {
+    check(&program::build(), 40_007, Duration::from_secs(14), 200, true);
+}
