Take only statuses from 200 to 599 for answers

Cause: the HTTP library takes status 101 and those from 600 to 999 for final ones, and so did the nodes: with an id and a signature they were passed on to callers, claims in them that a request did not run were believed, and a health response with them changed the instance.

--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -27,6 +27,7 @@
 use crate::event::{self, Event};
 use crate::field_room::FieldRoom;
 use crate::replay::Replay;
+use crate::response;
 
 /// Why a request has no response.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -150,7 +151,22 @@
         self.send_on(addr, request, Some(hash(attempt))).await
     }
 
+    /// Sends a request; a response whose status is none of a final one closes its connection.
     async fn send_on(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        attempt: Option<u64>,
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
+        let (response, conn) = self.exchange(addr, request, attempt).await?;
+        let status = response.status();
+        if !response::is_final(status) {
+            return Err(SendError::Lost(format!("status {} is not a final one", status.as_u16())));
+        }
+        Ok((response, conn))
+    }
+
+    async fn exchange(
         &self,
         addr: SocketAddr,
         mut request: Request<Full<Bytes>>,
--- a/crates/mesh/src/response.rs
+++ b/crates/mesh/src/response.rs
@@ -30,6 +30,12 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Returns whether a response with `status` ends a request. The HTTP library takes 101 and statuses
+/// from 600 on for final ones too.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Checks the head of a response against the attempt id of the request.
 ///
 /// A response without the id may be a late copy of an earlier one, so that neither its body nor
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client of a node, which bounds what it reads without handing it out.
 
 use std::fmt;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -10,10 +11,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{Connected, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::sync::Notify;
 
+/// Statuses of final responses. The HTTP library takes 101 and statuses from 600 on for final ones too.
+const FINAL_STATUSES: Range<u16> = 200..600;
 /// Interim responses after which a response is not waited for any longer.
 const MAX_INTERIM: usize = 64;
 /// Largest head of a response. The client may read 128 times as much before other tasks run.
@@ -67,18 +70,26 @@
     ) -> Result<Response<Incoming>, HttpError> {
         let exceeded = Arc::new(Notify::new());
         let (count, notify) = (AtomicUsize::new(0), Arc::clone(&exceeded));
+        let connection = capture_connection(&mut request);
         hyper::ext::on_informational(&mut request, move |_| {
             if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM {
                 notify.notify_one();
             }
         });
         // Dropping the request closes its connection.
-        tokio::select! {
+        let response = tokio::select! {
             () = exceeded.notified() => {
-                Err(HttpError::Lost(format!("more than {MAX_INTERIM} interim responses")))
+                let cause = format!("more than {MAX_INTERIM} interim responses");
+                return Err(HttpError::Lost(cause));
             }
-            response = self.0.request(request) => response.map_err(HttpError::from),
+            response = self.0.request(request) => response?,
+        };
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            connection.connection_metadata().iter().for_each(Connected::poison);
+            return Err(HttpError::Lost(format!("status {status} is not a final one")));
         }
+        Ok(response)
     }
 }
 
