--- a/crates/mesh/tests/statuses.rs
+++ b/crates/mesh/tests/statuses.rs
@@ -3,12 +3,16 @@
 //!
 //! On other systems an upstream in trouble sent status 000, and callers got it as an answer.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bbv_stand::caller;
 use bbv_stand::fleet::{Fleet, wait_until};
 use bbv_stand::upstream::Behaviour;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 /// Status lines that begin no response, or none that is final.
 const ODD: [&str; 25] = [
@@ -139,3 +143,41 @@
         assert_eq!(response.status, 200, "{line:?}");
     }
 }
+
+/// Answers each request at `addr` like a gate whose upstream has answered, with status line `line`.
+async fn serve_as_gate(addr: SocketAddr, line: &'static str) -> JoinHandle<()> {
+    let listener = TcpListener::bind(addr).await.expect("could not bind");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0_u8; 4_096];
+            // The size of the request does not matter.
+            let _ = stream.read(&mut request).await;
+            let text = format!(
+                "{line}\r\nBluebellvale-Attempt-Id: id-1\r\nBluebellvale-Response-Signature: s\r\n\
+                 bbv-reply: answered,0,0,0,0,0,0,9,100,0,0,0,0,1,1\r\nContent-Length: 5\r\n\r\nhello"
+            );
+            // The ingress may have closed the connection.
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
+    })
+}
+
+/// An ingress does not pass on an odd status from a gate either.
+#[tokio::test]
+async fn response_of_a_gate_with_an_odd_status_is_no_answer() {
+    let mut fleet = Fleet::without_nodes(&["a", "b"]).await;
+    fleet.start_node(0).await;
+    fleet.publish();
+    fleet.store.put("op/evacuate/a", &serde_json::json!({}));
+    fleet.wait_until_applied().await;
+    let gate = fleet.members[1].settings.peers;
+    let lines = ["HTTP/1.1 200 OK", "HTTP/1.1 000 None", "HTTP/1.1 101 Odd", "HTTP/1.1 700 Odd"];
+    for (line, expected) in lines.into_iter().zip([200, 502, 502, 502]) {
+        let serving = serve_as_gate(gate, line).await;
+        let response = fleet.post(0, "/post/1", "id-1").await;
+        assert_eq!(response.status, expected, "{line:?}: {response:?}");
+        serving.abort();
+        // The task has dropped its listener once it has ended.
+        let _ = serving.await;
+    }
+}
