--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,8 +9,8 @@
 //!   [`bucket`], [`claims`], [`credential`], [`distance`], [`freshness`], [`granter`],
 //!   [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`],
 //!   [`pipeline`], [`placement`], [`readers`], [`region_choice`], [`region_watch`],
-//!   [`retry_budget`], [`route`], [`routing_change`], [`routing_page`], [`shares`],
-//!   [`slow_period`] and [`view`].
+//!   [`restoration`], [`retry_budget`], [`revision`], [`route`], [`routing_change`],
+//!   [`routing_page`], [`shares`], [`slow_period`] and [`view`].
 //! - bbv-node: [`attempt`], [`balancer`], [`chart`], [`documents`], [`fleet`], [`gate`],
 //!   [`limit`], [`load`], [`operation`], [`outcome`], [`queue`], [`ramp`], [`reconciliation`],
 //!   [`ticket`] and [`token_budget`].
@@ -60,7 +60,9 @@
 pub mod region_choice;
 pub mod region_watch;
 pub mod rendezvous;
+pub mod restoration;
 pub mod retry_budget;
+pub mod revision;
 pub mod room;
 pub mod route;
 pub mod routing_change;
--- a/crates/mesh/src/event.rs
+++ b/crates/mesh/src/event.rs
@@ -67,6 +67,8 @@
     StoreLost,
     /// The store can be read again.
     StoreRegained,
+    /// The store has come back from an older copy.
+    StoreRestored,
     /// A background task panicked and was started again.
     TaskPanicked,
     /// An attempt to send a request to a gate failed.
@@ -114,6 +116,7 @@
     Event::StoreForgot,
     Event::StoreLost,
     Event::StoreRegained,
+    Event::StoreRestored,
     Event::TaskPanicked,
     Event::Tried,
     Event::UpstreamCrashed,
