--- a/crates/mesh/src/ahead/connection.rs
+++ b/crates/mesh/src/ahead/connection.rs
@@ -2,9 +2,13 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use super::ReadAhead;
 
+/// Interval at which a connection to be closed is checked for requests that are not answered.
+const BUSY_POLL: Duration = Duration::from_millis(5);
+
 /// Server of a connection, and what reads ahead of it, if anything does.
 pub(crate) struct AheadConnection<'a, C> {
     /// Server of the connection.
@@ -19,6 +23,29 @@
     }
 }
 
+impl<C> AheadConnection<'_, C>
+where
+    C: Future<Output = hyper::Result<()>> + Unpin,
+{
+    /// Shuts the server down once it is no longer busy with requests that have begun to arrive or have
+    /// been started, and serves the connection to its end.
+    pub async fn end_after_requests(
+        &mut self,
+        shut_down: impl FnOnce(Pin<&mut C>),
+        is_busy: impl Fn() -> bool,
+    ) -> hyper::Result<()> {
+        // The server would take half a request for none.
+        while is_busy() {
+            let result = tokio::time::timeout(BUSY_POLL, &mut *self).await;
+            if let Ok(result) = result {
+                return result;
+            }
+        }
+        shut_down(Pin::new(&mut self.conn));
+        self.await
+    }
+}
+
 impl<C> Future for AheadConnection<'_, C>
 where
     C: Future<Output = hyper::Result<()>> + Unpin,
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -51,8 +50,6 @@
 
 /// Part of the HTTP library's error for a URI that is longer than it allows.
 const LONG_URI: &str = "URI too long";
-/// Interval at which a connection to be closed is checked for a request that is arriving.
-const PENDING_POLL: Duration = Duration::from_millis(5);
 /// Delay before a task that panicked starts again.
 const PANIC_DELAY: Micros = 100 * MS;
 
@@ -265,8 +262,7 @@
                 () = wait_for_end(&mut self.close_signal, &mut limits, accepted), if callers => {
                     queue.close();
                     let is_busy = || activity.is_pending() || queue.has_started();
-                    end_after_request(&mut conn, http1::Connection::graceful_shutdown, is_busy)
-                        .await
+                    conn.end_after_requests(http1::Connection::graceful_shutdown, is_busy).await
                 }
             };
             let parts = conn.conn.into_parts();
@@ -282,27 +278,6 @@
     }
 }
 
-/// Shuts a connection down after the request that has begun to arrive on it, if any, and those that
-/// have been started, for as long as it is busy.
-async fn end_after_request<C>(
-    conn: &mut AheadConnection<'_, C>,
-    shut_down: impl FnOnce(Pin<&mut C>),
-    is_busy: impl Fn() -> bool,
-) -> hyper::Result<()>
-where
-    C: Future<Output = hyper::Result<()>> + Unpin,
-{
-    // The server would take half a request for none.
-    while is_busy() {
-        let result = tokio::time::timeout(PENDING_POLL, &mut *conn).await;
-        if let Ok(result) = result {
-            return result;
-        }
-    }
-    shut_down(Pin::new(&mut conn.conn));
-    conn.await
-}
-
 /// Returns `body`, which ends `open` when it has been read.
 fn hold_until_read(
     body: Full<Bytes>,
