Ask for a proof as soon as the routing is known, and test late answers

Change: the task asks each 50 ms until the routing is known and keys are accepted. A test delays the answers of a peer; it fails if they are counted from their receipt.

--- a/crates/mesh/src/proof.rs
+++ b/crates/mesh/src/proof.rs
@@ -22,7 +22,7 @@
 
 /// Interval of questions.
 const ASK_INTERVAL: Micros = 500 * MS;
-/// Interval of questions while keys are not accepted.
+/// Interval of questions while keys are not accepted, or no routing is known yet.
 const URGENT_INTERVAL: Micros = 50 * MS;
 /// Age from which nodes of other zones are asked too.
 const FAR_AGE: Micros = 2_500 * MS;
@@ -105,20 +105,22 @@
     /// Keeps this node's knowledge proven for the lifetime of the process.
     pub(crate) async fn ask_proofs(self: Arc<Self>, socket: Arc<UdpSocket>) {
         loop {
-            let mut interval = ASK_INTERVAL;
-            if self.needs_keys() {
-                let age = self.lock().proof.age(self.timer.since_boot());
-                if !self.note_acceptance(age) {
-                    interval = URGENT_INTERVAL;
-                }
-                for to in self.proof_sources(age) {
-                    self.ask_proof(&socket, to);
-                }
-                let now = self.now();
-                self.lock().quotas.forget_old(now);
-            }
-            self.timer.sleep(interval).await;
+            let has_routing = self.lock().view.routing.is_some();
+            let urgent = !has_routing || self.needs_keys() && !self.renew_proof(&socket);
+            self.timer.sleep(if urgent { URGENT_INTERVAL } else { ASK_INTERVAL }).await;
+        }
+    }
+
+    /// Asks other nodes if this one has no recent proof of its own; returns whether keys are accepted.
+    fn renew_proof(&self, socket: &UdpSocket) -> bool {
+        let age = self.lock().proof.age(self.timer.since_boot());
+        let accepts = self.note_acceptance(age);
+        for to in self.proof_sources(age) {
+            self.ask_proof(socket, to);
         }
+        let now = self.now();
+        self.lock().quotas.forget_old(now);
+        accepts
     }
 
     /// Logs whether keys are accepted, if that has changed; returns it.
--- a/crates/mesh/tests/organisations.rs
+++ b/crates/mesh/tests/organisations.rs
@@ -10,6 +10,7 @@
 use bbv_stand::fleet::{Fleet, config, route, wait_until};
 use bbv_stand::proxy::Mode;
 use serde_json::{Value, json};
+use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 /// Time within which a key that was taken away has to be refused.
@@ -167,6 +168,59 @@
     assert!(served > 0, "no keyless request was served");
 }
 
+/// Time by which the peer of the next test delays its answers.
+const LATE: Duration = Duration::from_millis(600);
+
+/// Answers each question about the routing, [`LATE`] later, as a node that has just heard from the store.
+async fn answer_late(socket: UdpSocket) {
+    // Mark, variant and id of a question; the answer adds revision 0 and an age of 0.
+    const QUESTION: [u8; 3] = [0xff, 0xff, 2];
+    const ANSWER: [u8; 3] = [0xff, 0xff, 3];
+    let socket = std::sync::Arc::new(socket);
+    let mut bytes = [0_u8; 64];
+    while let Ok((len, from)) = socket.recv_from(&mut bytes).await {
+        let Some(id) = bytes[..len].strip_prefix(&QUESTION) else { continue };
+        let answer = [&ANSWER[..], id, &[0, 1, 0]].concat();
+        let socket = std::sync::Arc::clone(&socket);
+        tokio::spawn(async move {
+            sleep(LATE).await;
+            socket.send_to(&answer, from).await.expect("could not answer");
+        });
+    }
+}
+
+/// An answer that was held on its way says nothing about the time after the question.
+#[tokio::test]
+async fn late_answer_does_not_make_knowledge_recent() {
+    let mut fleet = Fleet::without_nodes(&["a", "a"]).await;
+    fleet.members[0].settings.revocation = Some(REVOCATION.as_micros() as u64);
+    let stores = fleet.proxy_stores().await;
+    let peer = UdpSocket::bind(fleet.members[1].settings.notices).await.expect("could not bind");
+    tokio::spawn(answer_late(peer));
+    fleet.start_node(0).await;
+    fleet.publish();
+    fleet.store.put("op/config", &keyed_config(2, vec![organisation("o", &["k"], 0.0)]));
+    fleet.wait_until_applied().await;
+    sleep(SETTLING).await;
+    *stores[0].mode.lock() = Mode::Silent;
+    // What was asked before the silence is older than that from here on.
+    sleep(LATE + SETTLING).await;
+    let mut answered = 0;
+    let mut last = 0.0;
+    for _ in 0..60 {
+        let page = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let metrics = caller::send(fleet.members[0].settings.readiness, page).await.body;
+        let line = metrics.lines().find(|line| line.starts_with("bbv_proof_age_seconds "));
+        let age = line.and_then(|line| line.split(' ').next_back()?.parse::<f64>().ok());
+        let age = age.expect("the age is a metric");
+        assert!(age >= LATE.as_secs_f64() * 0.9, "{age}");
+        answered += usize::from(age < last);
+        last = age;
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(answered > 0, "no answer was counted");
+}
+
 /// Sends as fast as possible at all `nodes` for `time`; returns the statuses.
 async fn press(fleet: &Fleet, nodes: &[usize], time: Duration) -> Vec<u16> {
     let started = Instant::now();
