--- a/crates/mesh/src/proof.rs
+++ b/crates/mesh/src/proof.rs
@@ -18,6 +18,7 @@
 use crate::message::Known;
 use crate::node::Node;
 use crate::notice::vm_of;
+use crate::quota::GRANT_TIME;
 use crate::settings::Settings;
 
 /// Interval of questions.
@@ -34,7 +35,9 @@
 
 /// Number of watches, one after the other, in the time in which keys that were taken away have to be
 /// refused.
-const WATCHES: Micros = 5;
+const KEY_WATCHES: Micros = 5;
+/// Number of watches in the time for which a proof lets a node grant quotas.
+const GRANT_WATCHES: Micros = 4;
 
 /// Question to another node.
 struct OpenQuestion {
@@ -96,10 +99,11 @@
             && self.lock().proof.age(self.timer.since_boot()).is_none()
     }
 
-    /// Returns the longest time for which a watch of the routing waits, if keys limit it: the proofs of
+    /// Returns the longest time for which a watch of the routing waits, if organisations limit it: the proofs of
     /// calls in a row have to be recent.
     pub(crate) fn watch_limit(&self) -> Option<Micros> {
-        self.settings.revocation.filter(|_| self.needs_keys()).map(|limit| limit / WATCHES)
+        let keys = self.settings.revocation.unwrap_or(Micros::MAX) / KEY_WATCHES;
+        self.needs_keys().then_some(keys.min(GRANT_TIME / GRANT_WATCHES))
     }
 
     /// Keeps this node's knowledge proven for the lifetime of the process.
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -28,7 +28,7 @@
 /// answers which arrived while the process did not run are read before they count as missing.
 const MAX_HEDGED_WAITS: u32 = 3;
 /// Age of proofs from which a node does not grant: a node that took its share over may know of it.
-const GRANT_TIME: Micros = 4 * SEC;
+pub(crate) const GRANT_TIME: Micros = 4 * SEC;
 /// Shortest time after which a request beyond the quota may come again.
 const MIN_RETRY_AFTER: Micros = 10 * MS;
 /// Time in which all nodes in touch learn a new listing.
