--- a/crates/mesh/src/proof.rs
+++ b/crates/mesh/src/proof.rs
@@ -18,11 +18,12 @@
 use crate::message::Known;
 use crate::node::Node;
 use crate::notice::vm_of;
+use crate::quota::GRANT_TIME;
 use crate::settings::Settings;
 
 /// Interval of questions.
 const ASK_INTERVAL: Micros = 500 * MS;
-/// Interval of questions while keys are not accepted.
+/// Interval of questions while keys are not accepted, or no routing is known yet.
 const URGENT_INTERVAL: Micros = 50 * MS;
 /// Age from which nodes of other zones are asked too.
 const FAR_AGE: Micros = 2_500 * MS;
@@ -34,7 +35,9 @@
 
 /// Number of watches, one after the other, in the time in which keys that were taken away have to be
 /// refused.
-const WATCHES: Micros = 5;
+const KEY_WATCHES: Micros = 5;
+/// Number of watches in the time for which a proof lets a node grant quotas.
+const GRANT_WATCHES: Micros = 4;
 
 /// Question to another node.
 struct OpenQuestion {
@@ -96,29 +99,32 @@
             && self.lock().proof.age(self.timer.since_boot()).is_none()
     }
 
-    /// Returns the longest time for which a watch of the routing waits, if keys limit it: the proofs of
+    /// Returns the longest time for which a watch of the routing waits, if organisations limit it: the proofs of
     /// calls in a row have to be recent.
     pub(crate) fn watch_limit(&self) -> Option<Micros> {
-        self.settings.revocation.filter(|_| self.needs_keys()).map(|limit| limit / WATCHES)
+        let keys = self.settings.revocation.unwrap_or(Micros::MAX) / KEY_WATCHES;
+        self.needs_keys().then_some(keys.min(GRANT_TIME / GRANT_WATCHES))
     }
 
     /// Keeps this node's knowledge proven for the lifetime of the process.
     pub(crate) async fn ask_proofs(self: Arc<Self>, socket: Arc<UdpSocket>) {
         loop {
-            let mut interval = ASK_INTERVAL;
-            if self.needs_keys() {
-                let age = self.lock().proof.age(self.timer.since_boot());
-                if !self.note_acceptance(age) {
-                    interval = URGENT_INTERVAL;
-                }
-                for to in self.proof_sources(age) {
-                    self.ask_proof(&socket, to);
-                }
-                let now = self.now();
-                self.lock().quotas.forget_old(now);
-            }
-            self.timer.sleep(interval).await;
+            let has_routing = self.lock().view.routing.is_some();
+            let urgent = !has_routing || self.needs_keys() && !self.renew_proof(&socket);
+            self.timer.sleep(if urgent { URGENT_INTERVAL } else { ASK_INTERVAL }).await;
+        }
+    }
+
+    /// Asks other nodes if this one has no recent proof of its own; returns whether keys are accepted.
+    fn renew_proof(&self, socket: &UdpSocket) -> bool {
+        let age = self.lock().proof.age(self.timer.since_boot());
+        let accepts = self.note_acceptance(age);
+        for to in self.proof_sources(age) {
+            self.ask_proof(socket, to);
         }
+        let now = self.now();
+        self.lock().quotas.forget_old(now);
+        accepts
     }
 
     /// Logs whether keys are accepted, if that has changed; returns it.
