--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -234,14 +234,10 @@
             if self.closing() || other_instance || listed.is_some_and(|up| up.draining) {
                 return refused(closed);
             }
-            let rank = match self.settings.shedding {
-                true => urgency(metadata.rank, metadata.nested),
-                false => metadata.rank,
-            };
-            if self.settings.shedding && metadata.weight_pct > 0 {
-                let weight = f64::from(metadata.weight_pct) / 100.0;
-                let service_time = metadata.service_time;
-                state.admission.record_demand(arrived, rank, weight, service_time);
+            let mut rank = metadata.rank;
+            if self.settings.shedding {
+                rank = urgency(metadata.rank, metadata.nested);
+                state.record_demand(arrived, rank, metadata);
             }
             let id = self.next_id();
             let request = admission::AdmissionRequest {
--- a/crates/mesh/src/shed.rs
+++ b/crates/mesh/src/shed.rs
@@ -10,6 +10,7 @@
 
 use crate::event::{self, Event};
 use crate::ingress::{Call, CallOutcome};
+use crate::message::GateRequest;
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::state::State;
@@ -20,6 +21,15 @@
 const ROOM_LOG_INTERVAL: Micros = 500 * MS;
 
 impl State {
+    /// Records the demand of a request that arrived at the gate of this node, at its first send.
+    pub fn record_demand(&mut self, now: Micros, urgency: u8, metadata: &GateRequest) {
+        if metadata.weight_pct == 0 {
+            return;
+        }
+        let weight = f64::from(metadata.weight_pct) / 100.0;
+        self.admission.record_demand(now, urgency, weight, metadata.service_time);
+    }
+
     /// Returns the room of `service` for requests of `urgency`, by the fresh reports of upstreams to
     /// which `call` may be sent.
     fn service_room(
