--- a/crates/mesh/tests/knowledge.rs
+++ b/crates/mesh/tests/knowledge.rs
@@ -236,8 +236,10 @@
         Topic::Upstreams => [wrong, known],
         Topic::Control => [known, wrong],
     };
-    let no_ages = [0, 0, 0];
-    [&[0, 0, 0][..], &revisions.concat(), &[0, 0, 9, 100, 0, 0, 0, 0, 0], &no_ages].concat()
+    // Room for all ranks: 10,000 as a varint, and no lack.
+    let room = [0x90, 0x4e, 0];
+    let (load, crash, no_ages) = ([0, 0, 9, 100, 0, 0, 0, 0], [0], [0, 0, 0]);
+    [&[0, 0, 0][..], &revisions.concat(), &load, &room, &crash, &no_ages].concat()
 }
 
 /// Returns the sum of the metrics of member `index` whose lines start with `name`.
