--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -50,8 +50,6 @@
     /// Time within which a key that was taken away is refused by every node, whether it is in touch
     /// with the store or not; `None` if nodes that are not in touch may accept keys.
     pub revocation: Option<Micros>,
-    /// Window in which the quotas of organisations hold.
-    pub quota_window: Micros,
     /// Whether requests are refused by rank, with the calls that they make, when there is too little
     /// room.
     pub shedding: bool,
@@ -77,8 +75,6 @@
 const MAX_RETRY_BURST: f64 = 1e6;
 const MAX_RETRY_WINDOW_S: f64 = 3_600.0;
 const MAX_REVOKE_S: f64 = 3_600.0;
-const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
-const MAX_QUOTA_WINDOW_S: f64 = 3_600.0;
 
 fn parse_addr(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{text} is not an IP address with a port"))
@@ -151,7 +147,6 @@
             request_memory: (DEFAULT_REQUEST_MEMORY_MB * BYTES_PER_MB) as usize,
             response_memory: (DEFAULT_RESPONSE_MEMORY_MB * BYTES_PER_MB) as usize,
             revocation: None,
-            quota_window: micros(DEFAULT_QUOTA_WINDOW_S),
             shedding: true,
             metrics: None,
         }
@@ -188,7 +183,6 @@
             request_memory: memory(root, "request_memory_mb", DEFAULT_REQUEST_MEMORY_MB),
             response_memory: memory(root, "response_memory_mb", DEFAULT_RESPONSE_MEMORY_MB),
             revocation: root.optional_float("revoke_s", 0.0..=MAX_REVOKE_S).map(micros),
-            quota_window: time(root, "quota_window_s", MAX_QUOTA_WINDOW_S, DEFAULT_QUOTA_WINDOW_S),
             shedding: root.optional_boolean("shedding").unwrap_or(true),
             metrics: optional_addr(root, "metrics"),
         })
