Let requests pass that seldom call a service without room

Cause: a mean of 0.05 to 1 calls a request counted as one call by each, so that a route of which one request in ten calls a service without room was refused but for the probes; and since a gate tells no calls once their mean is below 0.05, an ingress held to the last mean for good. Change: below one call a request, the chance is that of a request to make no refused call.

--- a/crates/core/src/shedding.rs
+++ b/crates/core/src/shedding.rs
@@ -65,6 +65,12 @@
     },
 }
 
+/// Chance that a request makes all of its calls to a service with room for `share` of them. With fewer
+/// calls than requests, the others need no room there.
+fn call_chance(share: f64, calls: f64) -> f64 {
+    if calls < 1.0 { 1.0 - calls * (1.0 - share) } else { share.powf(calls) }
+}
+
 /// Decides about a request of a caller.
 ///
 /// `service` is the room of the service that it is sent to, and `calls` the room of each service
@@ -85,7 +91,7 @@
     spread: f64,
 ) -> Verdict {
     let own = service.map(|room| ((room.share / AMPLE_SHARE).min(1.0), room));
-    let called = calls.into_iter().map(|(room, calls)| (room.share.powf(calls.max(1.0)), room));
+    let called = calls.into_iter().map(|(room, calls)| (call_chance(room.share, calls), room));
     let (mut share, mut lack): (f64, Micros) = (1.0, 0);
     let lacks = own.into_iter().chain(called).filter(|(_, room)| room.lack > slack);
     for (room_share, room) in lacks {
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -153,6 +153,18 @@
     assert_eq!(decide(None, [(none, 2.0)], 0, 0.03, 0.5), Verdict::Admit { weight: 32.0 });
 }
 
+/// One in ten requests of a route calls a service without room. The others need none there, and were
+/// refused as if each made the call.
+#[test]
+fn requests_that_seldom_call_a_service_without_room_pass() {
+    let none = ServiceRoom { share: 0.0, lack: SEC };
+    let verdict = |calls, draw| decide(None, [(none, calls)], 0, draw, 0.5);
+    assert_eq!(verdict(0.04, 0.99), Verdict::Admit { weight: 1.0 });
+    assert!(matches!(verdict(0.1, 0.89), Verdict::Admit { .. }));
+    assert!(matches!(verdict(0.1, 0.91), Verdict::Refuse { .. }));
+    assert!(matches!(verdict(1.0, 0.04), Verdict::Refuse { .. }));
+}
+
 /// A cold upstream is asked by one rank alone for three times what it bears. Its gate decides, by exact
 /// counts and with a queue; ingresses refuse nothing.
 #[test]
