Remember that an upstream has left when its removal is told twice

Cause: a removal of an upstream that is not known any more, as from the changes after the earliest page of a listing, dropped the memory of its departure; an older copy of the store then brought it back at once. Change: a removal ends only the doubt about an entry; what has left is forgotten when its entry is written. Measured: upstream_whose_removal_is_told_twice_stays_gone_when_the_copy_shows_it_again failed before and passes; the other 14 tests of restoration.rs and the 4 of view.rs pass.

--- a/crates/core/src/restoration.rs
+++ b/crates/core/src/restoration.rs
@@ -52,12 +52,17 @@
         }
     }
 
-    /// Records that the entry of `id` was written or removed.
+    /// Records that the entry of `id` was written.
     pub(crate) fn forget(&mut self, id: &str) {
         self.departed.remove(id);
         self.doubted.remove(id);
     }
 
+    /// Records that the entry of `id` was removed; whether its upstream had left before is still known.
+    pub(crate) fn remove_entry(&mut self, id: &str) {
+        self.doubted.remove(id);
+    }
+
     /// Returns `listing` without the entries that are in doubt. A listing that begins an era may
     /// show upstreams again that had left.
     pub(crate) fn filter(
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -241,7 +241,7 @@
     }
 
     fn remove_upstream(&mut self, now: Micros, id: Name) -> Effect {
-        self.restoration.forget(&id);
+        self.restoration.remove_entry(&id);
         let Some(upstream) = self.upstreams.get(&id) else { return Effect::Unchanged };
         if now < self.grace_end && !upstream.draining {
             self.expired.insert(id.clone(), self.grace_end);
--- a/crates/core/tests/restoration.rs
+++ b/crates/core/tests/restoration.rs
@@ -112,6 +112,18 @@
     assert_eq!(usable(&view).len(), 3);
 }
 
+/// The removal of an upstream is told twice, as by a listing and the changes after its earliest page. The
+/// second word dropped the memory of the first.
+#[test]
+fn upstream_whose_removal_is_told_twice_stays_gone_when_the_copy_shows_it_again() {
+    let mut view = view();
+    view.replace(0, Topic::Upstreams, at(1, 12), listing(&["b", "c"]));
+    let change = ViewChange { revision: at(1, 13), update: Update::Upstream("a".into(), None) };
+    view.apply_changes(0, Topic::Upstreams, at(1, 13), vec![change]);
+    view.replace(SEC, Topic::Upstreams, at(2, 4), listing(&["a", "b", "c"]));
+    assert_eq!(usable(&view), ["b", "c"].map(Name::from));
+}
+
 /// An upstream that had left by an expired entry and registers again is used at once.
 #[test]
 fn upstream_that_registers_again_after_the_return_is_used() {
