Order the requests of organisations of equal rank by their routes

Change: the rank of a request orders by that of its organisation first and by that of its route next; its calls take it over.

Measured: the new test of credentials passes, and fails if the route's rank is left out (by reading: rank(0, 0) < rank(0, 2) would compare equal).

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -4,7 +4,7 @@
 use crate::units::{MS, Micros, SEC};
 
 /// Ranks that are told apart; less urgent ones count as the last of them.
-pub const RANKS: usize = 16;
+pub const RANKS: usize = 32;
 /// Time over which demand is averaged.
 const WINDOW: Micros = SEC;
 /// Least time over which demand is averaged after the first request; a few requests say little.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -88,6 +88,8 @@
     pub services: BTreeMap<Name, ServiceLimits>,
     /// Organisations; if there are any, requests need a key.
     pub organisations: Organisations,
+    /// Number of ranks from the most urgent one to that of the least urgent route.
+    pub(crate) ranks: u8,
     pub(crate) routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
 }
 
@@ -111,7 +113,32 @@
             let prefixes = routes.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route));
         }
-        Routing { version, limits, services, organisations: Organisations::default(), routes }
+        let ranks = count_ranks(&routes);
+        let organisations = Organisations::default();
+        Routing { version, limits, services, organisations, ranks, routes }
+    }
+
+    /// Returns the rank of a request of `organisation` on `route`.
+    ///
+    /// The rank of an organisation goes before that of the route, which orders the requests of
+    /// organisations of the same rank. Without organisations it is that of the route.
+    ///
+    /// ```
+    /// use bbv_core::route::{CallerLimits, Route, Routing};
+    /// let limits = CallerLimits { head: 1, body: 1, head_time: 1, idle: 1 };
+    /// let route = Route {
+    ///     name: "r".into(), host: "h".into(), prefix: "/".into(), parts: Vec::new(), idempotent: true,
+    ///     timeout: 1, target: 1, attempts: 1, rank: 2, homes: Default::default(), keyless: false,
+    /// };
+    /// let routing = Routing::new(1, limits, Default::default(), vec![route.clone()]);
+    /// assert_eq!(routing.rank(&route, None), 2);
+    /// ```
+    pub fn rank(&self, route: &Route, organisation: Option<&Organisation>) -> u8 {
+        if self.organisations.is_empty() {
+            return route.rank;
+        }
+        let first = organisation.and_then(|known| known.rank).unwrap_or(route.rank);
+        first.saturating_mul(self.ranks).saturating_add(route.rank)
     }
 
     /// Returns the routing with these organisations.
@@ -169,6 +196,12 @@
     }
 }
 
+/// Returns the number of ranks from the most urgent one to that of the least urgent route.
+pub(crate) fn count_ranks(routes: &BTreeMap<String, BTreeMap<String, Arc<Route>>>) -> u8 {
+    let ranks = routes.values().flat_map(BTreeMap::values).map(|route| route.rank);
+    ranks.max().unwrap_or(0).saturating_add(1)
+}
+
 /// Splits the requests of each route over its services by weight.
 ///
 /// Uses smooth weighted round robin, so that even a short run of requests follows the
--- a/crates/core/src/routing_change.rs
+++ b/crates/core/src/routing_change.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::organisation::{Organisation, Organisations};
-use crate::route::{CallerLimits, Name, Route, Routing, ServiceLimits};
+use crate::route::{CallerLimits, Name, Route, Routing, ServiceLimits, count_ranks};
 
 /// One route or organisation by which a routing differs from another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -145,7 +145,8 @@
             }
         }
         let organisations = Organisations::new(organisations.into_values().collect());
-        Routing { version, limits, services, organisations, routes }
+        let ranks = count_ranks(&routes);
+        Routing { version, limits, services, organisations, ranks, routes }
     }
 
     /// Replaces the routes that equal those of `base` by the ones of `base`, so that both routings
--- a/crates/core/tests/credentials.rs
+++ b/crates/core/tests/credentials.rs
@@ -20,13 +20,14 @@
     })
 }
 
+const LIMITS: CallerLimits = CallerLimits { head: 1, body: 1, head_time: 1, idle: 1 };
+
 fn routing(organisations: Vec<Arc<Organisation>>) -> Routing {
-    let limits = CallerLimits { head: 1, body: 1, head_time: 1, idle: 1 };
-    Routing::new(1, limits, Default::default(), Vec::new()).with_organisations(organisations)
+    Routing::new(1, LIMITS, Default::default(), Vec::new()).with_organisations(organisations)
 }
 
-fn verdict(keyless: bool, sender: Sender<'_>, standing: Standing) -> Verdict {
-    let route = Route {
+fn route(keyless: bool) -> Route {
+    Route {
         name: "r".into(),
         host: "h".into(),
         prefix: "/".into(),
@@ -38,8 +39,11 @@
         rank: 0,
         homes: Homes::default(),
         keyless,
-    };
-    judge(&routing(vec![organisation()]), &route, sender, standing)
+    }
+}
+
+fn verdict(keyless: bool, sender: Sender<'_>, standing: Standing) -> Verdict {
+    judge(&routing(vec![organisation()]), &route(keyless), sender, standing)
 }
 
 #[test]
@@ -72,3 +76,21 @@
         assert_eq!(verdict(false, Sender::Caller(Some(key)), unproven), Verdict::Unproven);
     }
 }
+
+/// Under overload the requests of organisations of equal rank would all wait alike, whatever their
+/// routes ask for, if the rank of the organisation replaced that of the route altogether.
+#[test]
+fn rank_of_the_organisation_goes_before_that_of_the_route() {
+    let route = |rank: u8| Route { rank, prefix: format!("/{rank}/"), ..self::route(false) };
+    let with_rank = |rank| Organisation { rank, ..Organisation::clone(&organisation()) };
+    let routes = vec![route(0), route(2)];
+    let plain = Routing::new(1, LIMITS, Default::default(), routes.clone());
+    assert_eq!(plain.rank(&route(2), None), 2);
+    let keyed = plain.with_organisations(vec![organisation()]);
+    let rank = |first, of_route| keyed.rank(&route(of_route), Some(&with_rank(first)));
+    assert!(rank(Some(0), 0) < rank(Some(0), 2));
+    assert!(rank(Some(0), 2) < rank(Some(1), 0));
+    assert_eq!(rank(None, 2), rank(Some(2), 2));
+    assert_eq!(keyed.rank(&route(0), None), 0);
+    assert_eq!(rank(Some(255), 2), 255);
+}
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -245,7 +245,7 @@
             .map_err(|_| CallOutcome::error(StatusCode::INTERNAL_SERVER_ERROR, "service-name"))?;
         head.headers.insert(header::CALLER_SERVICE, caller);
         let routing_version = routing.version;
-        let rank = organisation.as_ref().and_then(|known| known.rank).unwrap_or(route.rank);
+        let rank = routing.rank(&route, organisation.as_deref());
         let homes = organisation
             .as_ref()
             .map_or_else(|| route.homes.clone(), |known| route.homes.and(&known.homes));
@@ -270,19 +270,20 @@
             head,
             body,
         };
-        self.follow_parent(&mut call);
+        self.follow_parent(&mut call, !routing.organisations.is_empty());
         Ok(call)
     }
 
     /// Gives a call of a request that runs on the upstream of this node the rank, deadline and
-    /// weight of that request, unless its own rank is less urgent or its own deadline earlier.
-    fn follow_parent(&self, call: &mut Call) {
+    /// weight of that request, unless its own rank is less urgent or its own deadline earlier. If the
+    /// request is that of an organisation, the rank of the organisation goes before that of the call.
+    fn follow_parent(&self, call: &mut Call, organised: bool) {
         let mut state = self.lock();
         let Some(parent) = state.local.parent(&call.attempt_id) else { return };
         parent.record_call(&call.service);
         call.nested = true;
         if self.settings.shedding {
-            call.rank = call.rank.max(parent.rank);
+            call.rank = if organised { parent.rank } else { call.rank.max(parent.rank) };
             call.deadline = call.deadline.min(parent.deadline);
             call.weight = parent.weight;
         }
