Obey homes that an organisation gets while its request is under way

Cause: at each send, an ingress with a newer routing asked it for the homes of the route, but took those of the organisation from the routing that the request came with. A request whose body arrived while its organisation got homes was sent, with its body, to a gate in another region; only that gate's own check kept it from running.

Change: the homes of the organisation in the newer routing bind too, at every send.

--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -27,12 +27,20 @@
         open.any(|region| homes.allows(region))
     }
 
-    /// Returns the homes of `call` now: those that it came with, and those of its route in a newer
-    /// routing.
+    /// Returns the homes of `call` now: those that it came with, and those of its route and
+    /// organisation in a newer routing.
     pub fn homes(&self, call: &Call) -> Homes {
         let newer = self.routing().filter(|routing| routing.version != call.routing_version);
-        let route = newer.and_then(|routing| ingress::find_route(routing, &call.head));
-        route.map_or_else(|| call.homes.clone(), |route| call.homes.and(&route.homes))
+        let Some(routing) = newer else { return call.homes.clone() };
+        let mut homes = call.homes.clone();
+        if let Some(route) = ingress::find_route(routing, &call.head) {
+            homes = homes.and(&route.homes);
+        }
+        let name = call.organisation.as_ref().map(|known| &known.name);
+        if let Some(known) = name.and_then(|name| routing.organisations.get(name)) {
+            homes = homes.and(&known.homes);
+        }
+        homes
     }
 
     /// Returns the service to which a request with `homes` is sent, `drawn` unless only other parts of
--- a/crates/mesh/tests/homes.rs
+++ b/crates/mesh/tests/homes.rs
@@ -173,3 +173,31 @@
     assert_eq!((response.status, response.header("bbv-reason")), (503, Some("no-home")));
     assert_eq!(fleet.runs(), 0);
 }
+
+/// An organisation gets homes while the body of its request arrives; the body must not be sent to the
+/// upstream's gate, which is in another region.
+#[tokio::test]
+async fn homes_of_a_newer_organisation_bind_requests_under_way() {
+    let keyed = |version: u64, homes: &[&str]| {
+        let mut config = config(version, None);
+        let spec = json!({"api_keys": ["k"], "allowed_regions": homes});
+        let organisation =
+            json!({"resource_type": "tenants", "metadata": {"name": "o"}, "spec": spec});
+        config["resources"].as_array_mut().expect("resources are a list").push(organisation);
+        config
+    };
+    let fleet = start(&["a-1", "b-1"], &[], &keyed(2, &[])).await;
+    drain_others(&fleet, 1).await;
+    let text = caller::request("POST", "/get/1", "id-1", 3_000, "body");
+    let text = text.replacen("\r\n", "\r\nBluebellvale-Key: k\r\n", 1);
+    let (first, last) = text.split_at(text.len() - 1);
+    let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("could not connect");
+    stream.write_all(first.as_bytes()).await.expect("could not write");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.store.put("op/config", &keyed(3, &["a"]));
+    fleet.wait_until_applied().await;
+    stream.write_all(last.as_bytes()).await.expect("could not write");
+    let response = caller::read_response(&mut stream).await;
+    assert_eq!((response.status, response.header("bbv-reason")), (503, Some("no-home")));
+    assert_eq!(fleet.runs(), 0);
+}
