Accept keys, and check homes of organisations, with names beyond ASCII

Cause: a field was read with `to_str`, which refuses bytes beyond ASCII. A proper key with such characters got 401, and a gate did not find the organisation by such a name, so that it did not check its homes.

Change: both fields are read as UTF-8.

Measured: key_beyond_ascii_is_accepted got 401 before, 200 now. The gate's side has no test of its own.

--- a/crates/mesh/src/credential.rs
+++ b/crates/mesh/src/credential.rs
@@ -79,7 +79,7 @@
 
     fn sender<'a>(&self, head: &'a Parts) -> Sender<'a> {
         if let Some(key) = head.headers.get(header::KEY) {
-            return Sender::Caller(key.to_str().ok());
+            return Sender::Caller(std::str::from_utf8(key.as_bytes()).ok());
         }
         match head.headers.get(header::ATTEMPT_ID) {
             Some(id) if self.lock().local.parent(id).is_some() => Sender::RunningRequest,
--- a/crates/mesh/src/homes.rs
+++ b/crates/mesh/src/homes.rs
@@ -77,7 +77,8 @@
             return false;
         }
         let region = self.settings.region(&self.settings.zone);
-        let name = head.headers.get(header::ORGANISATION).and_then(|name| name.to_str().ok());
+        let name = head.headers.get(header::ORGANISATION);
+        let name = name.and_then(|name| std::str::from_utf8(name.as_bytes()).ok());
         let organisation = name.and_then(|name| routing.organisations.get(name));
         ingress::find_route(routing, head).is_some_and(|route| !route.homes.allows(region))
             || organisation.is_some_and(|known| !known.homes.allows(region))
--- a/crates/mesh/tests/organisations.rs
+++ b/crates/mesh/tests/organisations.rs
@@ -318,3 +318,12 @@
     assert_eq!(refused.status, 503);
     assert_eq!(fleet.runs(), 0);
 }
+
+/// Keys and names may hold characters beyond ASCII.
+#[tokio::test]
+async fn key_beyond_ascii_is_accepted() {
+    let organisations = vec![organisation("o", &["klíč"], 0.0)];
+    let fleet = start(&["a"], &[0], organisations, |_, _| {}).await;
+    assert_eq!(send_keyed(&fleet, 0, "held", "klíč").await.status, 200);
+    assert_eq!(send_keyed(&fleet, 0, "unknown", "klič").await.status, 401);
+}
