Ask nodes of other regions for proofs while the own region has none

Cause: a random node is one of the own region if there is any. If no node of a region reached the store, all of its nodes refused keys from the limit on, although nodes of other regions had proofs and were in reach.

Change: a node whose latest proof is 2.5 s old, or that has none, also asks a node of another region. Fleets with one region send nothing more.

Measured: keys_are_accepted_in_a_region_that_is_cut_off_from_the_store got 503 at its first request without the question, 40 of 40 requests got 200 with it.

--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -317,6 +317,15 @@
         peers.into_iter().map(|(ip, _)| ip).choose(&mut state.rng)
     }
 
+    /// Returns a random node of another region.
+    pub(crate) fn random_remote_peer(&self) -> Option<IpAddr> {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let is_remote = |zone: &Name| self.settings.distance(zone) == Distance::Remote;
+        let remote = state.index.vms().filter(|(_, zone)| is_remote(zone));
+        remote.map(|(ip, _)| ip).choose(&mut state.rng)
+    }
+
     /// Asks nodes of other regions that do not respond for a notice.
     fn ask_silent_peers(&self, socket: &UdpSocket, now: Micros) {
         let silent = self.silent_peers(now);
--- a/crates/mesh/src/proof.rs
+++ b/crates/mesh/src/proof.rs
@@ -25,7 +25,7 @@
 const ASK_INTERVAL: Micros = 500 * MS;
 /// Interval of questions while keys are not accepted, or no routing is known yet.
 const URGENT_INTERVAL: Micros = 50 * MS;
-/// Age from which nodes of other zones are asked too.
+/// Age from which nodes of other zones and regions are asked too.
 const FAR_AGE: Micros = 2_500 * MS;
 /// Number of questions whose answers are awaited.
 const MAX_OPEN: usize = 16;
@@ -138,16 +138,21 @@
         accepts
     }
 
-    /// Returns the nodes to ask: a reader of this zone if one is known, or else any node; with one of
-    /// another zone if the latest proof is old.
+    /// Returns the nodes to ask: a reader of this zone if one is known, or else any node of this region;
+    /// with others of this and other regions if the latest proof is old.
     fn proof_sources(&self, age: Option<Micros>) -> Vec<IpAddr> {
         if self.reads_store() && age.is_some_and(|age| age < FAR_AGE) {
             return Vec::new();
         }
         let mut sources: Vec<IpAddr> = self.heard_reader().into_iter().collect();
-        if sources.is_empty() || age.is_none_or(|age| age >= FAR_AGE) {
+        let old = age.is_none_or(|age| age >= FAR_AGE);
+        if sources.is_empty() || old {
             sources.extend(self.random_peer());
         }
+        if old {
+            // The store may be out of reach for the whole region.
+            sources.extend(self.random_remote_peer());
+        }
         sources
     }
 
--- a/crates/mesh/tests/organisations.rs
+++ b/crates/mesh/tests/organisations.rs
@@ -3,6 +3,7 @@
 //! Keys must end at the node that reads them; a key that was taken away must be refused also by a node that
 //! nothing reaches; and a quota holds over all nodes while one of them is dead or cut off.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bbv_mesh::settings::Settings;
@@ -327,3 +328,28 @@
     assert_eq!(send_keyed(&fleet, 0, "held", "klíč").await.status, 200);
     assert_eq!(send_keyed(&fleet, 0, "unknown", "klič").await.status, 401);
 }
+
+/// Time within which a key has to be refused, in which a node also asks other regions for proofs.
+const LONG_REVOCATION: Duration = Duration::from_secs(5);
+
+/// The store refuses all nodes of a region, which then have proofs only from nodes of another region.
+#[tokio::test]
+async fn keys_are_accepted_in_a_region_that_is_cut_off_from_the_store() {
+    let zones = ["a-1", "b-1", "b-2"];
+    let regions = |_: usize, settings: &mut Settings| {
+        let region = |zone: &str| zone.split('-').next().unwrap_or(zone).to_owned();
+        let regions = zones.iter().map(|zone| ((*zone).to_owned(), region(zone)));
+        settings.regions = regions.collect();
+        settings.revocation = Some(LONG_REVOCATION.as_micros() as u64);
+    };
+    let fleet = start(&zones, &[0, 1, 2], vec![organisation("o", &["k"], 0.0)], regions).await;
+    for member in &fleet.members[1..] {
+        member.listener.refuse.store(true, Ordering::Relaxed);
+    }
+    sleep(LONG_REVOCATION).await;
+    for number in 0..40 {
+        let status = send_keyed(&fleet, 1 + number % 2, &format!("id-{number}"), "k").await.status;
+        assert_eq!(status, 200, "request {number}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
