Test the wait of a new granter, the time of grants and readiness without proof

Cause: no test failed for a node that takes a share over without a wait, grants with old proofs, or is ready before it can accept keys.

Measured: with each of the three taken out, the test for it failed: a token after 1.5 ms, 200 in place of 503, ready with 200. On the code as it is, they pass.

--- a/crates/mesh/tests/organisations.rs
+++ b/crates/mesh/tests/organisations.rs
@@ -353,3 +353,72 @@
         sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Time for which a granter gives no tokens of a share that it has taken over, less a margin.
+const TAKEOVER: Duration = Duration::from_millis(700);
+
+/// The node that granted before may go on until it learns of this one.
+#[tokio::test]
+async fn granter_that_takes_a_share_over_waits() {
+    let fleet = start(&["a"], &[0], vec![organisation("p", &["k0"], 0.0)], |_, _| {}).await;
+    // A process that has just started takes over from its predecessor at once.
+    sleep(Duration::from_millis(2_500)).await;
+    fleet.store.put("op/config", &keyed_config(3, vec![organisation("o", &["k"], 1_000.0)]));
+    fleet.wait_until_applied().await;
+    let began = Instant::now();
+    let mut number = 0;
+    while send_keyed(&fleet, 0, &format!("id-{number}"), "k").await.status != 200 {
+        number += 1;
+        assert!(began.elapsed() < TAKEOVER * 3, "no token");
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(began.elapsed() > TAKEOVER, "a token after {:?}", began.elapsed());
+}
+
+/// A node that may have been replaced as granter, as it hears from no one, grants no tokens. Keys have no limit
+/// here, so that only its share is at stake.
+#[tokio::test]
+async fn granter_without_recent_proof_gives_no_tokens() {
+    let mut fleet = Fleet::without_nodes(&["a"]).await;
+    let stores = fleet.proxy_stores().await;
+    fleet.start_node(0).await;
+    fleet.publish();
+    fleet.store.put("op/config", &keyed_config(2, vec![organisation("o", &["k"], 100.0)]));
+    fleet.wait_until_applied().await;
+    sleep(SETTLING).await;
+    assert_eq!(send_keyed(&fleet, 0, "before", "k").await.status, 200);
+    *stores[0].mode.lock() = Mode::Silent;
+    sleep(Duration::from_millis(4_300)).await;
+    let refused = send_keyed(&fleet, 0, "after", "k").await;
+    assert_eq!((refused.status, refused.header("bbv-reason")), (503, Some("no-granter")));
+}
+
+/// A node that knows the routing by its peers alone cannot accept keys, since no datagram reaches it and its
+/// upstream is not listed, so that it does not read the store. Callers must not be sent to it.
+#[tokio::test]
+async fn node_without_proof_is_not_ready() {
+    let mut fleet = Fleet::without_nodes(&["a", "a"]).await;
+    for member in &mut fleet.members {
+        member.settings.revocation = Some(REVOCATION.as_micros() as u64);
+    }
+    fleet.members[1].settings.notices.set_port(21_009);
+    fleet.start_node(0).await;
+    fleet.publish_upstream(0, "ready");
+    fleet.store.put("op/config", &keyed_config(2, vec![organisation("o", &["k"], 0.0)]));
+    fleet.wait_until_applied().await;
+    fleet.start_node(1).await;
+    let began = Instant::now();
+    let mut number = 0;
+    while send(&fleet, 1, "/open/1", &format!("open-{number}"), "").await.status != 200 {
+        number += 1;
+        assert!(began.elapsed() < Duration::from_secs(5), "no keyless request was served");
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_ne!(fleet.readiness(1).await, 200);
+    let refused = send_keyed(&fleet, 1, "early", "k").await;
+    assert_eq!((refused.status, refused.header("bbv-reason")), (503, Some("key-unproven")));
+    fleet.publish_upstream(1, "ready");
+    let running = fleet.members[1].running.as_ref().expect("node is running");
+    wait_until("the node is ready", || running.node.ready()).await;
+    assert_eq!(send_keyed(&fleet, 1, "late", "k").await.status, 200);
+}
