Test that requests behind an over-long copy run once and in order

Cause: no test showed what becomes of a copy that has grown too long; a copy with a gap numbers the requests behind it wrongly. Change: a test only; it overflows the copy by requests that are answered at once.

--- a/crates/mesh/tests/ahead.rs
+++ b/crates/mesh/tests/ahead.rs
@@ -20,6 +20,8 @@
 const UNREAD_REQUESTS: usize = 600;
 /// Bytes that the HTTP library reads at once from a new connection.
 const LIBRARY_BUFFER: usize = 8_192;
+/// Bytes that are kept to be read a second time.
+const COPIED_BYTES: usize = 65_536;
 /// Time within which requests of a caller that has left end.
 const LEAVE_LIMIT: Duration = Duration::from_millis(500);
 
@@ -405,6 +407,29 @@
     assert_eq!(fleet.runs(), 1);
 }
 
+/// Requests that are answered at once leave no boundary between them, so that the copy of their bytes gets
+/// too long and is dropped. With a gap in it, what follows would run under other numbers, and so twice.
+#[tokio::test]
+async fn requests_behind_a_copy_that_is_too_long_run_once_and_in_order() {
+    let fleet = start(RUN_TIME).await;
+    let mut stream = connect(&fleet).await;
+    let (unrouted, mut sent) = (get("none").replace("/get/", "/absent/"), 0);
+    while sent <= COPIED_BYTES {
+        send(&mut stream, &unrouted).await;
+        assert_eq!(read(&mut stream, 1).await, (vec![(404, "none".to_owned())], false));
+        sent += unrouted.len();
+    }
+    send(&mut stream, &gets(0..2)).await;
+    wait_until("the first request runs", || fleet.runs() == 1).await;
+    send(&mut stream, &gets(2..6)).await;
+    assert_eq!(read(&mut stream, 6).await, (answered(0..6), false));
+    let started = Instant::now();
+    send(&mut stream, &gets(6..10)).await;
+    assert_eq!(read(&mut stream, 4).await, (answered(6..10), false));
+    assert!(started.elapsed() < RUN_TIME * 2, "no longer side by side: {:?}", started.elapsed());
+    assert_eq!(fleet.runs(), 10);
+}
+
 /// A connection goes back to reading one request at a time, and forward again.
 #[tokio::test]
 async fn requests_ahead_and_single_requests_take_turns() {
