Check a configuration of the mesh before it is published

Cause: `bbvctl check` read catalogues of `bbv-node` only. Routes that share host and prefix, services that do not exist, keys that two organisations hold, and entries that no request can match showed after nodes had taken them.

Change: `bbvctl check` takes a JSON file with the mesh's configuration too. It prints errors (exit 1) and warnings (exit 0), and with `--against FILE` what differs from the version in force, whose version has to be lower.

--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -13,10 +13,11 @@
 use getopts::{Matches, Options};
 
 const USAGE: &str = "\
-bbvctl: check catalogues and inspect nodes; changes nothing
+bbvctl: check catalogues and configurations, and inspect nodes; changes nothing
 
 usage:
-  bbvctl check FILE            validate a catalogue and list all errors
+  bbvctl check FILE            validate a catalogue, or a configuration of the mesh, and list all errors
+                               (--against FILE: list what differs from the version in force)
   bbvctl diff OLD NEW          list the documents that differ
   bbvctl status NODE...        show where each revision is in force
   bbvctl audit NODE            show the audit trail (--since N: from line N on)
@@ -54,6 +55,7 @@
     let mut options = Options::new();
     options.optflag("h", "help", "print the usage");
     options.optflag("", "json", "print JSON");
+    options.optopt("", "against", "configuration in force", "FILE");
     options.optopt("", "since", "first line", "N");
     let matches = match options.parse(args) {
         Ok(matches) if matches.opt_present("help") => return help(),
