Ask regions whose requests run for long before they count as lost

Cause: a region counts as lost once three of its nodes have owed a message for 800 ms. Nodes of other regions are sent few notices, so three requests that ran for longer, with no other answer meanwhile, made a sound region lost; requests that have to run there got 503 until one of the questions to lost regions, one round a second, was answered.

Change: from 400 ms on, up to three nodes that owe a message longest are asked for a notice, every 200 ms as long as none is heard from the region.

--- a/crates/core/src/region_watch.rs
+++ b/crates/core/src/region_watch.rs
@@ -27,6 +27,8 @@
     waiting: BTreeMap<IpAddr, Micros>,
     /// Nodes to which no connection could be made since the last message of the region.
     unreachable: BTreeSet<IpAddr>,
+    /// Time of the latest questions since the last message of the region.
+    asked_at: Option<Micros>,
     lost: bool,
 }
 
@@ -34,6 +36,10 @@
 const MIN_SILENT: usize = 3;
 /// Time for which a node owes a message before it counts as silent; longer than most requests run.
 const SILENCE_TIMEOUT: Micros = 800 * MS;
+/// Time for which a node owes a message before it is asked for one, as its request may run for long.
+const ASK_TIMEOUT: Micros = 400 * MS;
+/// Interval of questions to a region. Two rounds fit between these two times, as one may be lost.
+const ASK_INTERVAL: Micros = 200 * MS;
 
 impl RegionState {
     fn silent_nodes(&self, now: Micros) -> usize {
@@ -41,6 +47,21 @@
         let overdue = overdue.filter(|(ip, _)| !self.unreachable.contains(*ip)).count();
         self.unreachable.len() + overdue
     }
+
+    /// Returns the nodes that have owed a message for longest, if they have to be asked now.
+    fn take_questions(&mut self, now: Micros) -> Vec<IpAddr> {
+        if self.lost || self.asked_at.is_some_and(|at| now < at + ASK_INTERVAL) {
+            return Vec::new();
+        }
+        let owing = self.waiting.iter().filter(|(_, since)| now >= **since + ASK_TIMEOUT);
+        let mut owing: Vec<(Micros, IpAddr)> = owing.map(|(ip, since)| (*since, *ip)).collect();
+        owing.sort_unstable();
+        owing.truncate(MIN_SILENT);
+        if !owing.is_empty() {
+            self.asked_at = Some(now);
+        }
+        owing.into_iter().map(|(_, ip)| ip).collect()
+    }
 }
 
 /// Reachability of the other regions, as seen by one node.
@@ -96,6 +117,20 @@
         silent.filter(|(_, state)| !state.lost).map(|(region, _)| region.clone()).collect()
     }
 
+    /// Returns the nodes of regions in reach to ask for a message now, since their requests have run for
+    /// long: one answer shows that their region is in reach.
+    ///
+    /// ```
+    /// let mut watch = bbv_core::region_watch::RegionWatch::default();
+    /// let node = [127, 0, 0, 1].into();
+    /// watch.record_request(0, "north", node);
+    /// assert!(watch.take_questions(399_999).is_empty());
+    /// assert_eq!(watch.take_questions(400_000), vec![node]);
+    /// ```
+    pub fn take_questions(&mut self, now: Micros) -> Vec<IpAddr> {
+        self.regions.values_mut().flat_map(|state| state.take_questions(now)).collect()
+    }
+
     /// Decides whether `region`, of which `nodes` nodes are known, is out of reach; returns the change.
     ///
     /// ```
--- a/crates/core/tests/region_watch.rs
+++ b/crates/core/tests/region_watch.rs
@@ -82,3 +82,22 @@
     assert_eq!(watch.decide(3_000 * MS, "north", NODES), None);
     assert_eq!(watch.decide(3_800 * MS, "north", NODES), Some(RegionChange::Lost));
 }
+
+/// Requests that run for long leave their nodes silent; asked in time, one of them shows that it is in reach.
+#[test]
+fn region_whose_requests_run_long_is_asked_twice_before_it_is_lost() {
+    let mut watch = RegionWatch::default();
+    (1..=5).for_each(|number| watch.record_request(0, "north", node(number)));
+    let mut rounds = Vec::new();
+    for now in (0..800 * MS).step_by(10 * MS as usize) {
+        let asked = watch.take_questions(now);
+        if !asked.is_empty() {
+            rounds.push((now, asked.len()));
+        }
+        assert_eq!(watch.decide(now, "north", NODES), None);
+    }
+    assert_eq!(rounds, [(400 * MS, 3), (600 * MS, 3)]);
+    watch.record_message("north");
+    assert_eq!(watch.decide(5_000 * MS, "north", NODES), None);
+    assert!(watch.take_questions(5_000 * MS).is_empty());
+}
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -182,6 +182,7 @@
         loop {
             let now = ticks.next().await.now;
             self.record_tick();
+            self.ask_owing_nodes(&socket, now);
             self.poll_admission();
             self.expire_entries(now);
             let report = self.lock().load_report(now);
@@ -326,6 +327,14 @@
         remote.map(|(ip, _)| ip).choose(&mut state.rng)
     }
 
+    /// Asks nodes of other regions whose requests run for long for a notice.
+    fn ask_owing_nodes(&self, socket: &UdpSocket, now: Micros) {
+        let owing = self.lock().region_watch.take_questions(now);
+        if !owing.is_empty() {
+            self.send_notice(socket, &owing, &self.build_notice(None), &ASKS);
+        }
+    }
+
     /// Asks nodes of other regions that do not respond for a notice.
     fn ask_silent_peers(&self, socket: &UdpSocket, now: Micros) {
         let silent = self.silent_peers(now);
--- a/crates/mesh/tests/regions.rs
+++ b/crates/mesh/tests/regions.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use bbv_stand::caller;
 use bbv_stand::fleet::{Fleet, limits, route, service, wait_until};
+use bbv_stand::upstream::Behaviour;
 use serde_json::{Value, json};
 
 /// Time from the store's acknowledgement within which a change is in force.
@@ -114,3 +116,30 @@
         assert_eq!(response.status, 200, "node {index}");
     }
 }
+
+/// Time for which a node owes a message before it counts as silent, with a margin.
+const OVERDUE: Duration = Duration::from_millis(850);
+
+/// Requests that run for long are no loss of the region in which they run.
+#[tokio::test]
+async fn region_whose_requests_run_long_is_not_lost() {
+    let mut fleet = prepare(&["a-1", "b-1", "b-2", "b-1"]).await;
+    start(&mut fleet, &[0, 1, 2, 3], &config(2, Some(&["b"]), &[])).await;
+    for member in &fleet.members {
+        member.upstream.set_behaviour(Behaviour::Hangs);
+    }
+    let mut long = Vec::new();
+    for number in 0..12 {
+        let text = caller::request("GET", "/get/1", &format!("long-{number}"), 5_000, "");
+        let callers = fleet.callers(0);
+        long.push(tokio::spawn(async move { caller::send(callers, &text).await }));
+    }
+    wait_until("all requests run", || fleet.runs() == long.len()).await;
+    for member in &fleet.members {
+        member.upstream.set_behaviour(Behaviour::Answers);
+    }
+    tokio::time::sleep(OVERDUE).await;
+    let response = fleet.get(0, "/get/1", "after").await;
+    assert_eq!((response.status, response.header("bbv-reason")), (200, None));
+    long.iter().for_each(tokio::task::JoinHandle::abort);
+}
