Let a listing of an older era confirm nothing

Cause: when answers ceased to name the era, watches were malformed and the listings that followed were not applied, as they seemed to be of the first era; yet each counted as a confirmation, so that a node held what it knew (routing, zones, keys taken away) for current and told others so. Change: a listing of an older era than the position known when it was asked for is malformed. Measured: answers_without_the_era_confirm_nothing failed before (age 0 after 3 s without news) and passes; the other 4 tests of restored.rs pass.

--- a/crates/mesh/src/follow.rs
+++ b/crates/mesh/src/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bbv_core::freshness::FRESH_TIME;
+use bbv_core::revision::begins_era;
 use bbv_core::units::{MS, Micros, Revision};
 use bbv_core::view::{Topic, Update};
 use bbv_platform::store::{Changes, Freshness, StoreClient, StoreError};
@@ -66,6 +67,15 @@
     }
 }
 
+/// Returns `listing` unless it is of an older era than `after`, the position that was known when it was
+/// asked for: it says nothing of the present era.
+fn check_era(after: Revision, listing: Changes) -> Result<Changes, StoreError> {
+    if begins_era(listing.through, after) {
+        return Err(StoreError::Malformed("listing of an older era".to_owned()));
+    }
+    Ok(listing)
+}
+
 fn log_lost(topic: Topic, revision: Revision, error: &StoreError) {
     let values: [(&str, &dyn std::fmt::Display); 3] =
         [("topic", &topic.name()), ("revision", &revision), ("why", error)];
@@ -219,7 +229,8 @@
         let result = if follower.listed {
             follower.store.watch(topic, after, wait).await
         } else {
-            follower.store.list(topic, Freshness::Current).await
+            let listing = follower.store.list(topic, Freshness::Current).await;
+            listing.and_then(|listing| check_era(after, listing))
         };
         self.count_store_call(&result);
         if matches!(result, Ok(_) | Err(StoreError::HistoryGone)) {
--- a/crates/mesh/tests/restored.rs
+++ b/crates/mesh/tests/restored.rs
@@ -5,7 +5,7 @@
 
 use bbv_core::revision::era;
 use bbv_core::view::Topic;
-use bbv_stand::caller::Response;
+use bbv_stand::caller::{self, Response};
 use bbv_stand::fleet::{Fleet, wait_until};
 
 /// Waits until the nodes `of` the fleet know both topics in the era of the store.
@@ -118,3 +118,24 @@
     }
     assert_eq!(runs(), before, "the upstream has not registered again");
 }
+
+/// Answers cease to name the era, so that listings seem to be of the first one and are not applied. They
+/// counted as a confirmation of what the node knew, though it learnt nothing.
+#[tokio::test]
+async fn answers_without_the_era_confirm_nothing() {
+    let fleet = Fleet::start(&["z"]).await;
+    let copy = fleet.store.copy();
+    fleet.store.restore(&copy);
+    wait_until_entered(&fleet, &[0]).await;
+    fleet.store.unnamed.store(true, Ordering::Relaxed);
+    fleet.store.put("op/config", &fleet.config_with(2, "new"));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    let metrics = caller::send(fleet.members[0].settings.readiness, text).await.body;
+    let age = metrics.lines().find_map(|line| line.strip_prefix("bbv_control_age_seconds "));
+    let age: f64 = age.and_then(|age| age.parse().ok()).expect("no age");
+    assert!(age > 2.0, "{age}");
+    fleet.store.unnamed.store(false, Ordering::Relaxed);
+    fleet.wait_until_applied().await;
+    assert_eq!(status(&fleet, 0, "/new/1").await, 200);
+}
