Tell the room for ranks from 8 on as their gate counts it

Cause: a gate counts the demand of ranks from 8 on as one, but an ingress looked up their room beyond the end of that count, where there is none, and refused 31 of 32 of their requests at any lack of room. Change: the share of a rank is that of the rank it counts as. Measured: least_urgent_ranks_get_the_room_that_there_is_for_them failed before (share 0 at a level of 15.4) and passes; the other 15 tests of room.rs pass.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -25,7 +25,8 @@
     updated_at: Micros,
 }
 
-fn slot(rank: u8) -> usize {
+/// Index of `rank` among the ranks that are told apart.
+pub(crate) fn slot(rank: u8) -> usize {
     usize::from(rank).min(RANKS - 1)
 }
 
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -2,6 +2,7 @@
 //!
 //! It matters when callers ask for more than the upstreams of a service can run.
 
+use crate::demand::slot;
 use crate::units::{MS, Micros};
 
 /// Level in percent from which every rank has room.
@@ -97,7 +98,7 @@
         if self.level_pct >= FULL_LEVEL {
             return 1.0;
         }
-        let below = u16::from(rank) * RANK_PCT;
+        let below = slot(rank) as u16 * RANK_PCT;
         f64::from(self.level_pct.saturating_sub(below).min(RANK_PCT)) / f64::from(RANK_PCT)
     }
 }
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -165,6 +165,23 @@
     assert!(matches!(verdict(1.0, 0.04), Verdict::Refuse { .. }));
 }
 
+/// Ranks from 8 on count as one. There is room for half of their requests, which were refused as if there
+/// were none.
+#[test]
+fn least_urgent_ranks_get_the_room_that_there_is_for_them() {
+    let mut admission = Admission::new(9);
+    admission.set_limits(9, 16.0);
+    admission.set_cold_until(9 * SEC);
+    for (step, rank) in (0..40).zip([8, 12].into_iter().cycle()) {
+        admission.record_demand(step * 25 * MS, urgency(rank, false), 1.0, 50 * MS);
+    }
+    let room = admission.room(SEC);
+    for rank in [8, 12, u8::MAX] {
+        let share = room.share(urgency(rank, false));
+        assert!((0.3..0.5).contains(&share), "{rank}: {share} of {room:?}");
+    }
+}
+
 /// A cold upstream is asked by one rank alone for three times what it bears. Its gate decides, by exact
 /// counts and with a queue; ingresses refuse nothing.
 #[test]
