Grant tokens of a quota that was lifted

Cause: a granter that knows a routing in which an organisation has no quota any more holds no bucket for it, and answers that it does not grant it. A request that was read under the older routing, at the same node or one that lags, got 503 `no-granter`.

Change: such a granter gives a token to whoever still asks, while its knowledge is proven.

--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -99,6 +99,16 @@
     }
 }
 
+impl State {
+    /// Returns whether the routing in force has `organisation` without a quota. An ingress with an older
+    /// one may ask for a token all the same.
+    fn is_unlimited(&self, organisation: &str) -> bool {
+        let routing = self.view.routing.as_ref();
+        let known = routing.and_then(|routing| routing.organisations.get(organisation));
+        known.is_some_and(|known| known.quota.is_none())
+    }
+}
+
 impl Node {
     /// Sends a request if the quota of its organisation allows that.
     pub(crate) async fn send_within_quota(self: &Arc<Self>, call: Call) -> CallOutcome {
@@ -247,6 +257,9 @@
         if state.proof.is_older(since_boot, GRANT_TIME) {
             return Grant::NotGranter;
         }
+        if state.is_unlimited(organisation) {
+            return Grant::Token;
+        }
         state.quotas.granter.grant(now, organisation)
     }
 
--- a/crates/mesh/tests/organisations.rs
+++ b/crates/mesh/tests/organisations.rs
@@ -11,7 +11,8 @@
 use bbv_stand::fleet::{Fleet, config, route, wait_until};
 use bbv_stand::proxy::Mode;
 use serde_json::{Value, json};
-use tokio::net::UdpSocket;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::sleep;
 
 /// Time within which a key that was taken away has to be refused.
@@ -422,3 +423,21 @@
     wait_until("the node is ready", || running.node.ready()).await;
     assert_eq!(send_keyed(&fleet, 1, "late", "k").await.status, 200);
 }
+
+/// The quota of an organisation is lifted while the body of its request arrives, as seen also by an ingress that
+/// has the older routing: nobody grants that quota any more, and the request must not be refused for that.
+#[tokio::test]
+async fn request_under_way_is_served_when_its_quota_is_lifted() {
+    let fleet = start(&["a"], &[0], vec![organisation("o", &["k"], RATE)], |_, _| {}).await;
+    let text = caller::request("POST", "/post/1", "id-1", 3_000, "body");
+    let text = text.replacen("\r\n", "\r\nBluebellvale-Key: k\r\n", 1);
+    let (first, last) = text.split_at(text.len() - 1);
+    let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("could not connect");
+    stream.write_all(first.as_bytes()).await.expect("could not write");
+    sleep(Duration::from_millis(100)).await;
+    fleet.store.put("op/config", &keyed_config(3, vec![organisation("o", &["k"], 0.0)]));
+    fleet.wait_until_applied().await;
+    stream.write_all(last.as_bytes()).await.expect("could not write");
+    let response = caller::read_response(&mut stream).await;
+    assert_eq!((response.status, response.header("bbv-reason")), (200, None));
+}
