Give the hand-made reply of a gate in statuses.rs the room that replies carry

Change: the test's reply has the two values; its lines and expectations stay.

Measured: statuses.rs 6 passed.

--- a/crates/mesh/tests/statuses.rs
+++ b/crates/mesh/tests/statuses.rs
@@ -154,7 +154,7 @@
             let _ = stream.read(&mut request).await;
             let text = format!(
                 "{line}\r\nBluebellvale-Attempt-Id: id-1\r\nBluebellvale-Response-Signature: s\r\n\
-                 bbv-reply: answered,0,0,0,0,0,0,9,100,0,0,0,0,1,1\r\nContent-Length: 5\r\n\r\nhello"
+                 bbv-reply: answered,0,0,0,0,0,0,9,100,0,0,0,0,10000,0,1,1\r\nContent-Length: 5\r\n\r\nhello"
             );
             // The ingress may have closed the connection.
             let _ = stream.write_all(text.as_bytes()).await;
