--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -3,6 +3,7 @@
 mod replay;
 
 use bbv_core::admission::{Admission, AdmissionDecision, AdmissionDequeued, AdmissionRequest};
+use bbv_core::demand::RANKS;
 use bbv_core::needs::Needs;
 use bbv_core::rank_shares::RankShares;
 use bbv_core::room::{Room, urgency};
@@ -165,18 +166,20 @@
     assert!(matches!(verdict(1.0, 0.04), Verdict::Refuse { .. }));
 }
 
-/// Ranks from 8 on count as one. There is room for half of their requests, which were refused as if there
-/// were none.
+/// Ranks beyond those that are told apart count as the last of them. There is room for half of their
+/// requests, which were refused as if there were none.
 #[test]
 fn least_urgent_ranks_get_the_room_that_there_is_for_them() {
     let mut admission = Admission::new(9);
     admission.set_limits(9, 16.0);
     admission.set_cold_until(9 * SEC);
-    for (step, rank) in (0..40).zip([8, 12].into_iter().cycle()) {
+    // Each rank has two steps, for its calls and for its new requests.
+    let last = (RANKS / 2) as u8 - 1;
+    for (step, rank) in (0..40).zip([last, last + 4].into_iter().cycle()) {
         admission.record_demand(step * 25 * MS, urgency(rank, false), 1.0, 50 * MS);
     }
     let room = admission.room(SEC);
-    for rank in [8, 12, u8::MAX] {
+    for rank in [last, last + 4, u8::MAX] {
         let share = room.share(urgency(rank, false));
         assert!((0.3..0.5).contains(&share), "{rank}: {share} of {room:?}");
     }
