Name the number of ranks in the examples of Demand

Cause: tells 32 steps apart in place of 16, and the examples of requests and work named 16; both failed in a run of all tests on.

Change: they name the constant.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -66,7 +66,8 @@
     /// Requests per second, by rank.
     ///
     /// ```
-    /// assert_eq!(bbv_core::demand::Demand::default().requests(0), [0.0; 16]);
+    /// use bbv_core::demand::{Demand, RANKS};
+    /// assert_eq!(Demand::default().requests(0), [0.0; RANKS]);
     /// ```
     pub fn requests(&self, now: Micros) -> [f64; RANKS] {
         let factor = self.rate_factor(now);
@@ -76,7 +77,8 @@
     /// Work per second in microseconds at normal speed, by rank.
     ///
     /// ```
-    /// assert_eq!(bbv_core::demand::Demand::default().work(0), [0.0; 16]);
+    /// use bbv_core::demand::{Demand, RANKS};
+    /// assert_eq!(Demand::default().work(0), [0.0; RANKS]);
     /// ```
     pub fn work(&self, now: Micros) -> [f64; RANKS] {
         let factor = self.rate_factor(now);
