--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -7,29 +7,27 @@
 
 use bbv_soak::run::{RunOptions, run};
 
-/// Runs `seed` for `duration`, with configurations that add up to `routes` routes, and checks that
-/// no guarantee is violated.
-fn check_seed(program: &Path, seed: u64, duration: Duration, routes: usize) {
-    check(program, seed, duration, routes, false);
-}
-
-fn check(program: &Path, seed: u64, duration: Duration, routes: usize, drills: bool) {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{seed}-{routes}"));
-    let program = program.to_owned();
-    let options = RunOptions {
+/// Returns a run of `seed` with four nodes in two zones for `seconds`, with configurations that add up to
+/// `routes` routes.
+fn options(program: &Path, seed: u64, seconds: u64, routes: usize) -> RunOptions {
+    RunOptions {
         seed,
         nodes: 4,
         zones: 2,
         site: false,
-        drills,
+        drills: false,
         routes,
-        duration,
-        program,
-        folder,
-    };
+        duration: Duration::from_secs(seconds),
+        program: program.to_owned(),
+        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{seed}-{routes}")),
+    }
+}
+
+/// Checks that a run violates no guarantee.
+fn check(options: &RunOptions) {
     let runtime = tokio::runtime::Runtime::new().expect("could not start the runtime");
-    let report = runtime.block_on(run(&options)).expect("could not finish the run");
-    assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    let report = runtime.block_on(run(options)).expect("could not finish the run");
+    assert!(report.violations.is_empty(), "seed {}: {report}", options.seed);
 }
 
 #[test]
@@ -37,7 +35,7 @@
     let program = program::build();
     // 102 and 115: SIGHUP arrived before the process had installed its handler and ended it.
     for seed in [1, 2, 102, 115] {
-        check_seed(&program, seed, Duration::from_secs(6), 0);
+        check(&options(&program, seed, 6, 0));
     }
 }
 
@@ -46,47 +44,33 @@
 /// the default action ends the node once it continues.
 #[test]
 fn guarantees_hold_under_seeded_faults_seed_900() {
-    check_seed(&program::build(), 900, Duration::from_secs(8), 0);
+    check(&options(&program::build(), 900, 8, 0));
 }
 
 /// Watches are cut, connections to the store go silent and its history is forgotten, while upstreams leave.
 #[test]
 fn changes_are_in_force_in_time_around_faults_of_the_store() {
-    check_seed(&program::build(), 34_003, Duration::from_secs(14), 200);
+    check(&options(&program::build(), 34_003, 14, 200));
 }
 
 /// Versions add routes around short silent outages of the whole store, in a fleet with three zones and links
 /// of its own; readers whose calls were lost in one heard of nothing for 26.5 s.
 #[test]
 fn added_routes_are_served_after_silent_outages() {
-    let (seed, duration) = (37_202, Duration::from_secs(14));
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("site");
-    let program = program::build();
-    let options = RunOptions {
-        seed,
-        nodes: 10,
-        zones: 3,
-        site: true,
-        drills: false,
-        routes: 200,
-        duration,
-        program,
-        folder,
-    };
-    let runtime = tokio::runtime::Runtime::new().expect("could not start the runtime");
-    let report = runtime.block_on(run(&options)).expect("could not finish the run");
-    assert!(report.violations.is_empty(), "seed {seed}: {report}");
+    let small = options(&program::build(), 37_202, 14, 200);
+    check(&RunOptions { nodes: 10, zones: 3, site: true, ..small });
 }
 
 /// Configurations follow in quick succession and upstreams leave, while two nodes stay calm and one
 /// of them is behind a slow link.
 #[test]
 fn changes_are_in_force_in_time_under_seeded_faults() {
-    check_seed(&program::build(), 1, Duration::from_secs(8), 1);
+    check(&options(&program::build(), 1, 8, 1));
 }
 
 /// The store is away for a moment and comes back from older copies, whose lost changes are written again.
 #[test]
 fn guarantees_hold_when_the_store_comes_back_from_older_copies() {
-    check(&program::build(), 40_007, Duration::from_secs(14), 200, true);
+    let drilled = options(&program::build(), 40_007, 14, 200);
+    check(&RunOptions { drills: true, ..drilled });
 }
