Show the bytes counted for bodies beside the resident memory

No log or metric told memory that is counted for bodies from memory that is held besides, so that hypotheses on the cause could not be told apart.

Change: gauges bbv_body_bytes (of request and response) and bbv_resident_bytes.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -33,6 +33,7 @@
 mod quota;
 mod regions;
 mod replay;
+mod resident;
 mod response;
 mod send;
 mod send_result;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Metrics of a node and the registry that renders them.
@@ -78,6 +78,10 @@
     pub cold: IntGauge,
     /// Age of the upstream's last load report, in seconds.
     pub report_age: Gauge,
+    /// Bytes counted for bodies, by whose bodies they are.
+    pub body_bytes: IntGaugeVec,
+    /// Resident memory of the process, in bytes.
+    pub resident: IntGauge,
 }
 
 /// Service and rank of the route that a request matched, as metric labels.
@@ -160,6 +164,8 @@
         let shed = opts("bbv_shed_total", "Requests refused for lack of room.");
         let shed = IntCounterVec::new(shed, &["service", "scarce", "rank"]);
         let shed = shed.expect("metric names are valid");
+        let body_bytes = opts("bbv_body_bytes", "Bytes counted for bodies.");
+        let body_bytes = IntGaugeVec::new(body_bytes, &["of"]).expect("metric names are valid");
         let queue_time =
             histogram("bbv_wait_seconds", "Time that requests were queued for the upstream.");
         let queue_time = Histogram::with_opts(queue_time).expect("metric names are valid");
@@ -220,6 +226,8 @@
             upstreams_age: seconds("bbv_upstreams_age_seconds", "Age of the known upstreams."),
             control_age: seconds("bbv_control_age_seconds", "Age of the known routing and zones."),
             report_age: seconds("bbv_report_age_seconds", "Age of the upstream's load report."),
+            body_bytes: register(&registry, body_bytes),
+            resident: gauge("bbv_resident_bytes", "Resident memory of the process."),
             registry,
         }
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -23,6 +23,7 @@
 use crate::head_limits;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::resident;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -45,6 +46,7 @@
     /// Held by the task that checks the upstream before a request.
     pub(crate) check_turn: tokio::sync::Mutex<()>,
     pub(crate) request_bodies: Arc<Mutex<BodyBudget>>,
+    pub(crate) response_bodies: Arc<Mutex<BodyBudget>>,
     pub(crate) open_requests: AtomicU64,
     pub(crate) notice_socket: OnceLock<Arc<UdpSocket>>,
     /// Limits of callers in the routing in force.
@@ -97,6 +99,7 @@
             upstream_pool: pool(0),
             check_turn: tokio::sync::Mutex::default(),
             request_bodies: Arc::new(Mutex::new(BodyBudget::new(settings.request_memory))),
+            response_bodies: bodies,
             open_requests: AtomicU64::new(0),
             notice_socket: OnceLock::new(),
             caller_limits: watch::Sender::new(None),
@@ -255,6 +258,7 @@
     /// Updates the gauges.
     pub(crate) fn update_gauges(&self) {
         self.update_proof_gauge();
+        self.update_memory_gauges();
         let now = self.now();
         let state = self.lock();
         let version = state.view.routing.as_ref().map_or(0, |routing| routing.version);
@@ -278,6 +282,16 @@
         metrics.report_age.set(seconds(state.local.reported_at));
     }
 
+    fn update_memory_gauges(&self) {
+        for (of, bodies) in [("request", &self.request_bodies), ("response", &self.response_bodies)]
+        {
+            self.metrics.body_bytes.with_label_values(&[of]).set(bodies.lock().held() as i64);
+        }
+        if let Some(bytes) = resident::bytes() {
+            self.metrics.resident.set(bytes as i64);
+        }
+    }
+
     /// Records a first attempt to `service`, which adds a share of a retry to the budget.
     pub(crate) fn earn_retry(&self, service: &Name) {
         let now = self.now();
--- a/crates/mesh/tests/metrics.rs
+++ b/crates/mesh/tests/metrics.rs
@@ -54,6 +54,19 @@
     }
 }
 
+/// Without both figures, memory that is held but not counted cannot be told from memory that is counted.
+#[tokio::test]
+async fn memory_of_bodies_stands_beside_that_of_the_process() {
+    let fleet = Fleet::start(&["z"]).await;
+    let text = metrics(&fleet, 0).await;
+    for of in ["request", "response"] {
+        let name = format!("bbv_body_bytes{{of=\"{of}\"}}");
+        assert_eq!(value(&text, &name), Some(0.0), "{name}\n{text}");
+    }
+    let resident = value(&text, "bbv_resident_bytes").expect("no resident memory");
+    assert!((1e6..1e9).contains(&resident), "{resident}");
+}
+
 #[tokio::test]
 async fn statuses_are_counted_by_who_chose_them() {
     let fleet = Fleet::start(&["z"]).await;
