Let connections at rest give back what their requests took

Cause, measured in resident bytes a connection at rest (release build, arm64): the HTTP library doubles its read buffer whenever a read fills it, and keeps it; it keeps the place of a request's future, 27,824 bytes; and the copy of what a caller sent stays, up to 64 KiB, until the next request.

Change: a read hands out less than the library's smallest buffer; the future of a request is allocated for the request; of what the server itself reads, 16 KiB are copied at most. Bytes that are read ahead are copied as before.

--- a/crates/mesh/src/ahead/mod.rs
+++ b/crates/mesh/src/ahead/mod.rs
@@ -27,5 +27,8 @@
 const MAX_UNREAD_BYTES: usize = 32_768;
 /// Bytes that are kept to be read a second time, ahead of their turn.
 const MAX_COPIED_BYTES: usize = 65_536;
+/// Bytes of these that the server of the connection may have read by itself. They may be those of a single
+/// request, which stay until the next one.
+const MAX_SERVED_BYTES: usize = 16_384;
 /// Interval at which a connection that holds as much as it may is checked for its end.
 const CLOSE_POLL: Micros = 100 * MS;
--- a/crates/mesh/src/ahead/stream.rs
+++ b/crates/mesh/src/ahead/stream.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::{MAX_COPIED_BYTES, MAX_UNREAD_BYTES};
+use super::{MAX_COPIED_BYTES, MAX_SERVED_BYTES, MAX_UNREAD_BYTES};
 
 /// Bytes that are read ahead at once.
 const READ_BYTES: usize = 4_096;
@@ -36,9 +36,10 @@
 }
 
 impl State {
-    fn copy(&mut self, bytes: &[u8]) {
+    /// Copies `bytes`, up to `most` in all.
+    fn copy(&mut self, bytes: &[u8], most: usize) {
         let Some(copied) = &mut self.copied else { return };
-        if copied.len() + bytes.len() > MAX_COPIED_BYTES {
+        if copied.len() + bytes.len() > most {
             self.copied = None;
             return;
         }
@@ -89,7 +90,7 @@
                 return Poll::Ready(());
             }
             state.unread.extend_from_slice(arrived);
-            state.copy(arrived);
+            state.copy(arrived, MAX_COPIED_BYTES);
         }
         Poll::Pending
     }
@@ -137,7 +138,7 @@
         let result = Pin::new(&mut state.tcp).poll_read(cx, buf);
         state.waiting = result.is_pending();
         if let Poll::Ready(Ok(())) = &result {
-            state.copy(&buf.filled()[before..]);
+            state.copy(&buf.filled()[before..], MAX_SERVED_BYTES);
         }
         result
     }
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -240,14 +240,15 @@
             // Only callers send requests ahead.
             let started = if callers { requests.begin(&request) } else { None };
             let (node, queue) = (Arc::clone(&node), requests.clone());
-            async move {
+            // The library keeps the place of a request's future for as long as the connection is open.
+            Box::pin(async move {
                 let response = match kind {
                     ListenerKind::Callers => queue.respond(node, request, started).await?,
                     ListenerKind::Peers => node.serve_peer(from.ip(), request).await,
                     ListenerKind::Operators => serve_operator(&node, request.uri().path()),
                 };
                 Ok::<_, JoinError>(response.map(|body| hold_until_read(body, open)))
-            }
+            })
         });
         let mut room = FieldRoom::default();
         let result = loop {
--- a/crates/mesh/src/tapped.rs
+++ b/crates/mesh/src/tapped.rs
@@ -1,12 +1,17 @@
 //! Stream that reports what passes through it.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Stream that calls `on_read` with the number of bytes of each read, whose error fails the read,
+/// Bytes that are read at once. The HTTP library doubles its read buffer whenever a read fills it, and
+/// keeps it for as long as the connection is open; its smallest one is a byte larger.
+const READ_BYTES: usize = 8 * 1_024 - 1;
+
+/// Stream that hands out a limited number of bytes at once. It calls `on_read` with the number of bytes of each read, whose error fails the read,
 /// and `on_write` before each write.
 pub(crate) struct Tapped<T, R, W> {
     stream: T,
@@ -40,9 +45,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        Poll::Ready((self.on_read)(buf.filled().len() - before))
+        let mut bytes = [const { MaybeUninit::uninit() }; READ_BYTES];
+        let len = buf.remaining().min(READ_BYTES);
+        let mut read = ReadBuf::uninit(&mut bytes[..len]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        buf.put_slice(read.filled());
+        Poll::Ready((self.on_read)(read.filled().len()))
     }
 }
 
