Soak: draw the sizes of pieces, and hold processes to their memory

Each has a generator of its own, so that the faults of earlier seeds stay as they were.

Tests: seeds.rs processes_stay_within_their_memory_when_bodies_come_in_pieces (seed 46001); checks.rs shows the monitor killing and reporting.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::checker::{Checker, SentRequest};
+use crate::pieces;
 use crate::request;
 
 /// Deadline that a caller sets for each request.
@@ -25,6 +26,8 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Longest pause between two requests of a caller that keeps its connection.
 const KEPT_PAUSE_MS: u64 = 30;
+/// Number of pieces that a request without pauses is sent in at most.
+const MAX_PIECES: usize = 1_000;
 /// Longest pause between two pieces of a request.
 const PIECE_PAUSE_MS: u64 = 25;
 
@@ -34,7 +37,7 @@
     /// Sends small requests, each at once, and closes the connection when an answer asks for that
     /// or none arrives before the deadline.
     Closes,
-    /// Sends requests of varying form, and uses the connection until it ends.
+    /// Sends requests of varying form in pieces without pauses, and uses the connection until it ends.
     Keeps,
     /// Keeps its connection as well, and sends each request in pieces.
     Pieces,
@@ -58,6 +61,8 @@
     pub habit: Habit,
     /// Draws its requests and pauses.
     pub rng: SmallRng,
+    /// Draws the sizes of the pieces in which it sends requests.
+    pub sizes: SmallRng,
 }
 
 impl Caller {
@@ -117,9 +122,22 @@
         answer
     }
 
+    /// Sends `bytes` without pauses, the first of them in pieces of a size that is drawn.
+    async fn write_at_once(&mut self, stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+        let size = pieces::draw_size(&mut self.sizes);
+        let (first, rest) = bytes.split_at(bytes.len().min(size * MAX_PIECES));
+        for piece in first.chunks(size) {
+            stream.write_all(piece).await?;
+            tokio::task::yield_now().await;
+        }
+        stream.write_all(rest).await
+    }
+
     async fn write(&mut self, stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
-        if self.habit != Habit::Pieces {
-            return stream.write_all(text.as_bytes()).await;
+        match self.habit {
+            Habit::Closes => return stream.write_all(text.as_bytes()).await,
+            Habit::Keeps => return self.write_at_once(stream, text.as_bytes()).await,
+            Habit::Pieces => {}
         }
         for piece in request::cut(&mut self.rng, text) {
             stream.write_all(piece).await?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! Faults drawn from a seed, and their injection into the nodes of a fleet.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bbv_stand::fleet::Fleet;
@@ -41,6 +41,10 @@
 pub struct Node {
     /// Process of the node, which faults pause, signal and restart.
     pub process: Process,
+    /// Id of the process.
+    pub id: Arc<AtomicU32>,
+    /// Whether the process was killed since it took more memory than it may.
+    pub killed: Arc<AtomicBool>,
     /// Proxy in front of the store.
     pub store_proxy: Proxy,
     /// Proxy in front of the upstream.
@@ -169,6 +173,12 @@
 /// Restarts the processes that have ended after a stop or kill; fails if one ended on its own.
 pub fn restart_ended(nodes: &mut [Node]) -> Result<()> {
     for (index, node) in nodes.iter_mut().enumerate() {
+        if !node.stopping && node.killed.load(Ordering::SeqCst) {
+            node.generation.fetch_add(1, Ordering::SeqCst);
+            node.disturbances.set(true);
+            node.paused = false;
+            node.stopping = true;
+        }
         if !node.stopping {
             if let Some(status) = node.process.status() {
                 bail!("node {index} ended unexpectedly: {status}");
@@ -178,6 +188,8 @@
         if node.process.ended() {
             node.generation.fetch_add(1, Ordering::SeqCst);
             node.process.restart().wrap_err("could not restart a node")?;
+            node.id.store(node.process.id(), Ordering::SeqCst);
+            node.killed.store(false, Ordering::SeqCst);
             node.stopping = false;
             node.record_disturbed();
         }
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -22,6 +22,7 @@
 use crate::history::History;
 use crate::leaving::Absence;
 use crate::outages;
+use crate::pieces;
 use crate::run::RunOptions;
 use crate::store_faults;
 
@@ -54,6 +55,11 @@
 /// XORed with the seed of a run to seed the drills.
 const DRILL_SEED_MASK: u64 = 0xe7a;
 
+/// Probability that a flood of pieces starts along with a fault.
+const FLOOD_PROBABILITY: f64 = 0.3;
+/// XORed with the seed of a run to seed the floods.
+const FLOOD_SEED_MASK: u64 = 0x71_ece5;
+
 /// Injects faults into the nodes of a fleet.
 pub struct Injector<'a> {
     fleet: &'a Fleet,
@@ -77,6 +83,8 @@
     next_outage: Duration,
     /// Time from which the next drill may start.
     next_drill: Duration,
+    /// Time from which the next flood may start.
+    next_flood: Duration,
     /// Copy of the store, while a drill lasts.
     copy: Option<StoreCopy>,
     /// What the store has lost in a drill.
@@ -111,6 +119,7 @@
             next_store: Duration::ZERO,
             next_outage: Duration::ZERO,
             next_drill: Duration::ZERO,
+            next_flood: Duration::ZERO,
             copy: None,
             lost: None,
             steps: Vec::new(),
@@ -126,6 +135,7 @@
         let mut growth_rng = SmallRng::seed_from_u64(options.seed ^ GROWTH_SEED_MASK);
         let mut store_rng = SmallRng::seed_from_u64(options.seed ^ STORE_SEED_MASK);
         let mut outage_rng = SmallRng::seed_from_u64(options.seed ^ OUTAGE_SEED_MASK);
+        let mut flood_rng = SmallRng::seed_from_u64(options.seed ^ FLOOD_SEED_MASK);
         let mut drill_rng = SmallRng::seed_from_u64(options.seed ^ DRILL_SEED_MASK);
         // Faults that reset connections to the store hide calls that an outage has silenced.
         let only_outages = options.site && options.seed.is_multiple_of(2);
@@ -152,6 +162,9 @@
             if options.drills && drill_rng.random_bool(DRILL_PROBABILITY) {
                 self.add_drill(&mut drill_rng);
             }
+            if flood_rng.random_bool(FLOOD_PROBABILITY) {
+                self.add_flood(&mut flood_rng);
+            }
             if options.site {
                 self.add_outage(&mut outage_rng, options.routes);
             }
@@ -212,6 +225,17 @@
         }
     }
 
+    /// Adds a flood of pieces if the last one is long enough ago.
+    fn add_flood(&mut self, rng: &mut SmallRng) {
+        let now = self.started.elapsed();
+        let steps = pieces::draw_flood(rng, self.nodes.len(), now);
+        if now >= self.next_flood {
+            self.next_flood = now + pieces::MIN_PAUSE;
+            self.steps.extend(steps);
+            self.steps.sort_by_key(|step| Reverse(step.at));
+        }
+    }
+
     /// Waits for `pause`, and takes the steps of bursts that are due meanwhile.
     async fn wait(&mut self, pause: Duration) -> Result<()> {
         let end = self.started.elapsed() + pause;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,6 +6,7 @@
 
 use bbv_cli::{Program, number};
 use bbv_soak::history::MAX_ROUTES;
+use bbv_soak::memory::MEMORY_MB;
 use bbv_soak::run::{RunOptions, run};
 use eyre::{Result, WrapErr, eyre};
 use getopts::Options;
@@ -16,7 +17,7 @@
 bbv-soak: runs bbv-mesh nodes under seeded faults and checks their guarantees from outside
 
 usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--routes N]
-    [--zones N] [--site] [--no-drills] [--folder PATH]
+    [--zones N] [--site] [--no-drills] [--memory-mb N] [--folder PATH]
 
 exit codes: 0 all guarantees held, 1 one was violated or a run failed, 2 bad usage
 ",
@@ -34,6 +35,7 @@
     options.optopt("", "zones", "number of zones, up to 5", "N");
     options.optflag("", "no-drills", "the store never comes back from an older copy");
     options.optflag("", "site", "links like a deployment's, and outages of the whole store");
+    options.optopt("", "memory-mb", "memory that a process may take", "N");
     options.optopt("", "folder", "folder for settings and logs", "PATH");
     let args: Vec<String> = std::env::args().skip(1).collect();
     let matches = match PROGRAM.parse(&options, &args) {
@@ -64,6 +66,7 @@
             site: matches.opt_present("site"),
             drills: !matches.opt_present("no-drills"),
             duration: Duration::from_secs(number(matches, "seconds", 12)?),
+            memory: number(matches, "memory-mb", MEMORY_MB)? << 20,
             program: PathBuf::from(&program),
             folder: PathBuf::from(&folder).join(seed.to_string()),
         };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bbv_stand::caller;
@@ -28,6 +28,7 @@
 use crate::injector::Injector;
 use crate::leaving::{Absence, late_requests};
 use crate::limits;
+use crate::memory::MemoryMonitor;
 use crate::served::Served;
 use crate::versions::{VersionMonitor, status_of, version_route};
 
@@ -49,6 +50,8 @@
     pub site: bool,
     /// Whether the store comes back from older copies.
     pub drills: bool,
+    /// Memory that a process may take, in bytes.
+    pub memory: u64,
     /// Path of the `bbv-mesh` program.
     pub program: PathBuf,
     /// Folder for settings and logs.
@@ -75,6 +78,8 @@
     pub conclusive: usize,
     /// Times that an upstream left.
     pub absences: usize,
+    /// Largest resident memory of a process, in bytes.
+    pub peak: u64,
     /// Guarantees violated.
     pub violations: Vec<String>,
 }
@@ -83,12 +88,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "sent={} good={} faults={} routing_checks={} departures={} broken={}",
+            "sent={} good={} faults={} routing_checks={} departures={} peak_kb={} broken={}",
             self.sent,
             self.succeeded,
             self.faults,
             self.conclusive,
             self.absences,
+            self.peak / 1_024,
             self.violations.len()
         )?;
         self.violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
@@ -108,6 +114,8 @@
 const ZONE_DELAY: Duration = Duration::from_micros(3_400);
 /// XORed with the seed of a run and the number of a caller to seed the caller.
 const CALLER_SEED_MASK: u64 = 0xca11_0000;
+/// XORed with the seed of a caller to seed the sizes of the pieces of its requests.
+const SIZE_SEED_MASK: u64 = 0x517e_0000_0000;
 /// Time within which a fleet without faults serves requests and has complete state again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 /// Lines of a node's log that a failed wait shows.
@@ -147,6 +155,8 @@
     let mut tasks = start_callers(&fleet, options, &checker, &stop);
     tasks.extend(start_monitors(&fleet, &nodes, &checker, &newest, &stop));
     tasks.extend(start_force_monitors(&fleet, options.seed, &nodes, &history, &checker, &stop));
+    let peak = Arc::new(AtomicU64::new(0));
+    tasks.extend(start_memory_monitors(&nodes, options.memory, &peak, &checker, &stop));
     let injector = Injector::new(options, &fleet, &mut nodes, &newest, &history, &calm)?;
     let (faults, absences) = injector.run(options).await?;
     faults::clear(&fleet, &mut nodes).await?;
@@ -172,6 +182,7 @@
         faults,
         conclusive: checker.conclusive(),
         absences: absences.len(),
+        peak: peak.load(Ordering::Relaxed),
         violations: checker.check(&runs),
     })
 }
@@ -192,6 +203,8 @@
         let process = Process::start(&options.program, &options.folder, &settings)
             .wrap_err_with(|| format!("could not start {}", options.program.display()))?;
         nodes.push(Node {
+            id: Arc::new(AtomicU32::new(process.id())),
+            killed: Arc::default(),
             process,
             store_proxy,
             upstream_proxy,
@@ -239,6 +252,7 @@
                 stop: Arc::clone(stop),
                 next: Arc::clone(&next),
                 habit: habit(node, number),
+                sizes: SmallRng::seed_from_u64(caller_seed ^ SIZE_SEED_MASK),
                 rng: SmallRng::seed_from_u64(caller_seed),
             };
             callers.push(tokio::spawn(caller.run()));
@@ -267,6 +281,27 @@
     nodes.iter().enumerate().map(start).collect()
 }
 
+/// Starts a monitor of the memory of each node, which may take `limit` bytes.
+fn start_memory_monitors(
+    nodes: &[Node],
+    limit: u64,
+    peak: &Arc<AtomicU64>,
+    checker: &Arc<Checker>,
+    stop: &Arc<AtomicBool>,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let start = |(index, node): (usize, &Node)| {
+        let monitor = MemoryMonitor {
+            id: Arc::clone(&node.id),
+            limit,
+            peak: Arc::clone(peak),
+            killed: Arc::clone(&node.killed),
+            stop: Arc::clone(stop),
+        };
+        tokio::spawn(monitor.run(format!("node {index}"), Arc::clone(checker)))
+    };
+    nodes.iter().enumerate().map(start).collect()
+}
+
 /// Starts a monitor of the routes in force at each node.
 fn start_force_monitors(
     fleet: &Fleet,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,8 +1,9 @@
 //! Tests that the checks of `bbv-soak` detect violations.
 
 use std::net::SocketAddr;
+use std::process::Command;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bbv_soak::bursts::{self, Action, Step};
@@ -15,7 +16,9 @@
 use bbv_soak::growth;
 use bbv_soak::history::{History, MAX_ROUTES, Mark};
 use bbv_soak::leaving::{Absence, late_requests};
+use bbv_soak::memory::{self, MemoryMonitor};
 use bbv_soak::outages;
+use bbv_soak::pieces;
 use bbv_soak::request;
 use bbv_soak::served::Served;
 use bbv_soak::store_faults;
@@ -128,6 +131,7 @@
         next: Arc::default(),
         habit: Habit::Closes,
         rng: SmallRng::seed_from_u64(1),
+        sizes: SmallRng::seed_from_u64(1),
     };
     let task = tokio::spawn(caller.run());
     while checker.counts().0 == 0 {
@@ -457,6 +461,7 @@
             next: Arc::default(),
             habit,
             rng: SmallRng::seed_from_u64(1),
+            sizes: SmallRng::seed_from_u64(1),
         };
         let task = tokio::spawn(caller.run());
         let (mut stream, _) = listener.accept().await.expect("no connection");
@@ -481,3 +486,41 @@
     let answer = "HTTP/1.1 503 Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     stream.write_all(answer.as_bytes()).await.expect("could not write the answer");
 }
+
+/// A process beyond its memory has to be killed and reported, or a soak would not see that one grows.
+#[tokio::test]
+async fn process_beyond_its_memory_is_killed_and_reported() {
+    let mut child = Command::new("sleep").arg("60").spawn().expect("could not start a process");
+    let (stop, checker) = (Arc::new(AtomicBool::new(false)), Arc::new(Checker::default()));
+    let killed = Arc::new(AtomicBool::new(false));
+    let monitor = |limit| MemoryMonitor {
+        id: Arc::new(AtomicU32::new(child.id())),
+        limit,
+        peak: Arc::default(),
+        killed: Arc::clone(&killed),
+        stop: Arc::clone(&stop),
+    };
+    let small = memory::resident(child.id()) + (1 << 20);
+    let tasks = [monitor(small), monitor(1)];
+    let tasks =
+        tasks.map(|monitor| tokio::spawn(monitor.run("n".to_owned(), Arc::clone(&checker))));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    stop.store(true, Ordering::SeqCst);
+    for task in tasks {
+        task.await.expect("could not join the monitor");
+    }
+    let violations = checker.check(&[]);
+    assert_eq!(violations.len(), 1, "{violations:?}");
+    assert!(violations[0].ends_with("bytes resident, 1 allowed"), "{violations:?}");
+    assert!(child.try_wait().expect("could not look at the process").is_some(), "it still runs");
+}
+
+/// Pieces that only have usual sizes would not show what a small one costs.
+#[test]
+fn pieces_of_all_sizes_are_drawn() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let sizes: Vec<usize> = (0..1_000).map(|_| pieces::draw_size(&mut rng)).collect();
+    for (least, most) in [(1, 1), (2, 15), (16, 255), (256, 4_095), (4_096, 32_767)] {
+        assert!(sizes.iter().any(|size| (least..=most).contains(size)), "{least} to {most}");
+    }
+}
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use bbv_soak::memory::MEMORY_MB;
 use bbv_soak::run::{RunOptions, run};
 
 /// Returns a run of `seed` with four nodes in two zones for `seconds`, with configurations that add up to
@@ -17,6 +18,7 @@
         site: false,
         drills: false,
         routes,
+        memory: MEMORY_MB << 20,
         duration: Duration::from_secs(seconds),
         program: program.to_owned(),
         folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{seed}-{routes}")),
@@ -74,3 +76,10 @@
     let drilled = options(&program::build(), 40_007, 14, 200);
     check(&RunOptions { drills: true, ..drilled });
 }
+
+/// Upstreams answer with bodies without end in pieces of sizes that are drawn; each piece kept the buffer
+/// that it had been read into, and a process exceeded its memory.
+#[test]
+fn processes_stay_within_their_memory_when_bodies_come_in_pieces() {
+    check(&options(&program::build(), 46_001, 10, 200));
+}
