Bound the memory for the bodies of requests by that of the process

Cause: the budget for requests was 64 MB on every VM, beside the budget for responses, 3,900 connections (17 to 37 KB each at rest) and the configuration; on a VM whose process may take 160 MB the sum was beyond it.

Change: new setting memory_mb, which the template takes from the platform's limits; the default of request_memory_mb is a quarter of it, 64 at most. So 40 MB at 160, 64 at 260 and 512.

Sum at 160 MB by calculation: 40 and 8 for requests, 12 for responses, 65 for 3,900 connections at rest after small requests. The connections alone take 139 MB if each rests after a body of 15 KB; that is left open.

Tests: memory.rs memory_for_requests_fits_into_that_of_the_process, which fails before (unknown field); pages.rs fills the template in.

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -67,6 +67,9 @@
 const DEFAULT_REGION_KB_COST: f64 = 0.2;
 const MAX_KB_COST: f64 = 100.0;
 const DEFAULT_REQUEST_MEMORY_MB: f64 = 64.0;
+/// Share of the memory of the process that the bodies of requests may take unless their own setting says
+/// otherwise. The rest is for responses, connections and the configuration.
+const REQUEST_MEMORY_SHARE: f64 = 0.25;
 /// More than a VM's link of 20 Mbit/s carries within usual deadlines.
 const DEFAULT_RESPONSE_MEMORY_MB: f64 = 6.0;
 const MAX_MEMORY_MB: f64 = 65_536.0;
@@ -119,6 +122,13 @@
     micros(root.optional_float(key, 0.0..=most_s).unwrap_or(default_s))
 }
 
+/// Reads the memory for the bodies of requests; by default it fits into that of the process.
+fn request_memory(root: &mut YamlReader<'_>) -> usize {
+    let process_mb = root.optional_float("memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB);
+    let fitting_mb = process_mb.map_or(MAX_MEMORY_MB, |mb| mb * REQUEST_MEMORY_SHARE);
+    memory(root, "request_memory_mb", DEFAULT_REQUEST_MEMORY_MB.min(fitting_mb))
+}
+
 fn memory(root: &mut YamlReader<'_>, key: &str, default_mb: f64) -> usize {
     let mb = root.optional_float(key, MIN_MEMORY_MB..=MAX_MEMORY_MB).unwrap_or(default_mb);
     (mb * BYTES_PER_MB) as usize
@@ -180,7 +190,7 @@
             region_kb_cost: root
                 .optional_float("region_kb_cost", 0.0..=MAX_KB_COST)
                 .unwrap_or(DEFAULT_REGION_KB_COST),
-            request_memory: memory(root, "request_memory_mb", DEFAULT_REQUEST_MEMORY_MB),
+            request_memory: request_memory(root),
             response_memory: memory(root, "response_memory_mb", DEFAULT_RESPONSE_MEMORY_MB),
             revocation: root.optional_float("revoke_s", 0.0..=MAX_REVOKE_S).map(micros),
             shedding: root.optional_boolean("shedding").unwrap_or(true),
--- a/crates/mesh/tests/memory.rs
+++ b/crates/mesh/tests/memory.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use bbv_mesh::settings::Settings;
 use bbv_stand::caller;
 use bbv_stand::fleet::Fleet;
 use bbv_stand::process::Process;
@@ -149,3 +150,18 @@
         assert!(each <= REST_BYTES, "{each} bytes a connection after one body of {bytes}");
     }
 }
+
+/// The bodies of requests could take 64 MB on a VM whose process may take 160 MB with all else.
+#[test]
+fn memory_for_requests_fits_into_that_of_the_process() {
+    let addrs = ["upstream", "callers", "peers", "readiness", "notices", "platform"];
+    let addrs = addrs.map(|key| format!("{key}: 127.0.0.1:1\n")).concat();
+    let parse = |more: &str| {
+        let text = format!("node: n\nzone: z\nservice: s\n{addrs}{more}");
+        Settings::parse(&text).expect("settings are complete").request_memory >> 20
+    };
+    assert_eq!(parse(""), 64);
+    assert_eq!(parse("memory_mb: 160\n"), 40);
+    assert_eq!(parse("memory_mb: 512\n"), 64, "no more than without a bound");
+    assert_eq!(parse("memory_mb: 160\nrequest_memory_mb: 50\n"), 50, "set by itself");
+}
--- a/crates/mesh/tests/pages.rs
+++ b/crates/mesh/tests/pages.rs
@@ -22,6 +22,7 @@
 /// Replaces each placeholder of a line by an example that fits its field.
 fn fill(line: &str) -> String {
     let example = match line {
+        line if line.contains("_mb|") => "160",
         line if line.contains("_s|") || line.contains("budget") => "1",
         line if line.contains("listen") || line.contains("addr") => "10.0.0.1:80",
         line if line.starts_with("notices") || line.starts_with("metrics") => return address(line),
@@ -64,4 +65,5 @@
     assert_eq!(settings.node, "name");
     assert_eq!(settings.region("name"), Some("name"));
     assert!(settings.metrics.is_some() && settings.revocation.is_some());
+    assert_eq!(settings.request_memory, 40 << 20);
 }
