--- a/crates/mesh/tests/endless.rs
+++ b/crates/mesh/tests/endless.rs
@@ -113,6 +113,8 @@
 }
 
 const MEMORY_LIMIT: usize = 24 * 1_024 * 1_024;
+/// Time for which the store sends; a listing may take some seconds.
+const LISTING_TIME: Duration = Duration::from_secs(3);
 const FLOODED_REQUESTS: usize = 100;
 
 /// A body of small pieces was kept with the buffers that they had been read into, of which only the
@@ -122,6 +124,21 @@
     check_peak(&[Endless::Pieces(1)]).await;
 }
 
+/// A listing of small pieces was kept like such a body, without any budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn listing_of_small_pieces_leaves_the_process_small() {
+    let fleet = Fleet::without_nodes(&["z"]).await;
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = fleet.members[0].settings.clone();
+    (settings.platform, _) = flood(any_port, Endless::Pieces(1)).await;
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("endless-listing");
+    let program = Path::new(env!("CARGO_BIN_EXE_bbv-mesh"));
+    let process = Process::start(program, &folder, &settings).expect("could not start a node");
+    tokio::time::sleep(LISTING_TIME).await;
+    let peak = peak_memory(&process);
+    assert!(peak < MEMORY_LIMIT, "{peak} bytes resident");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hundred_floods_at_once_leave_the_process_small() {
     check_peak(&FLOODS).await;
