Copy the pieces of a body in bbv-node

What callers would see: bodies of requests in small pieces take a node beyond its memory.

Cause: the HTTP framework collects a body as the slices of read buffers in which it arrived. Answers of one piece were kept as such a slice too, in the records of operations for as long as these last.

Change: pieces are copied into one buffer as they arrive; what is kept is as large as the body.

Test: process.rs bodies_in_small_pieces_leave_the_process_small, 40 uploads of 4,000 pieces of one byte: 341,307,392 bytes more resident before (twice), below its 24 MB now. Answers of one piece were not measured.

--- a/crates/node/src/caller_api.rs
+++ b/crates/node/src/caller_api.rs
@@ -144,15 +144,22 @@
         discard(request).await;
         return Err(Refusal::BodyTooLarge);
     }
-    let body = request.payload_with_max_size(MAX_BODY_BYTES).await;
-    let body = body.map_err(|error| match error {
-        salvo::http::ParseError::PayloadTooLarge => Refusal::BodyTooLarge,
-        _ => Refusal::Malformed,
-    })?;
-    if content_length.is_some_and(|length| length != body.len()) {
+    // Pieces are copied: each lies in a read buffer, which it would keep.
+    let mut bytes = Vec::new();
+    let mut body = request.take_body();
+    while let Some(frame) = body.next().await {
+        let frame = frame.map_err(|_| Refusal::Malformed)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if bytes.len() + data.len() > MAX_BODY_BYTES {
+            return Err(Refusal::BodyTooLarge);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    if content_length.is_some_and(|length| length != bytes.len()) {
         return Err(Refusal::Malformed);
     }
-    Ok(body.clone())
+    bytes.shrink_to_fit();
+    Ok(Bytes::from(bytes))
 }
 
 /// Reads the rest of a body that is too large, so that the sender gets to read the refusal.
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -112,18 +112,17 @@
     if announced.is_some_and(|len| len > limit as u64) {
         return Err(HttpError::TooLarge(limit));
     }
-    let mut bytes = BytesMut::new();
+    // Pieces are copied: each lies in a read buffer, which it would keep.
+    let mut bytes = Vec::new();
     // A frame fails if the connection ends before `Content-Length` bytes have arrived.
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| HttpError::Lost(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
-        if announced == Some(data.len() as u64) {
-            return Ok(data);
-        }
         if bytes.len() + data.len() > limit {
             return Err(HttpError::TooLarge(limit));
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    bytes.shrink_to_fit();
+    Ok(Bytes::from(bytes))
 }
--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -8,6 +8,9 @@
 use bbv_core::documents::is_reader;
 use bbv_stand::proxy::Mode;
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
 use crate::running::{Fleet, Running, client};
 
 const CATALOGUE: &str = include_str!("../../../examples/pararrayos.yaml");
@@ -152,3 +155,45 @@
     let nodes: Vec<&Running> = nodes.iter().map(|(running, _)| running).collect();
     check_in_force(&fleet, &nodes, FORCE_LIMIT).await;
 }
+
+/// Bodies that come in small pieces took many times their bytes, since each piece kept the buffer that it
+/// had been read into.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_in_small_pieces_leave_the_process_small() {
+    const UPLOADS: usize = 40;
+    const PIECES: usize = 4_000;
+    const MEMORY_LIMIT: usize = 24 << 20;
+    let (_fleet, running) = start_one("pieces").await;
+    let resident = || {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", running.node.id()));
+        let status = status.expect("could not read the status of the process");
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok());
+        kb.expect("status has no RssAnon") * 1_024
+    };
+    let before = resident();
+    let mut uploads = Vec::new();
+    for _ in 0..UPLOADS {
+        let mut stream = TcpStream::connect(running.callers).await.expect("could not connect");
+        uploads.push(tokio::spawn(async move {
+            let head =
+                "POST /certificates HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.expect("could not send the head");
+            for count in 0..PIECES {
+                stream.write_all(b"1\r\nx\r\n").await.expect("could not send a piece");
+                // The node reads few pieces at once.
+                if count % 4 == 0 {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+            stream
+        }));
+    }
+    let mut streams = Vec::new();
+    for upload in uploads {
+        streams.push(upload.await.expect("an upload panicked"));
+    }
+    tokio::time::sleep(RUN_TIME).await;
+    let taken = resident().saturating_sub(before);
+    assert!(taken < MEMORY_LIMIT, "{taken} bytes more for {} bytes of bodies", UPLOADS * PIECES);
+}
