Copy the pieces of an answer in bbv-caller

What callers would see: answers in small pieces fill the memory of the program that uses the library.

Cause: the HTTP client collects a body as the slices of read buffers in which it arrived.

Change: pieces are copied into one buffer as they arrive.

--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use parking_lot::Mutex;
 use reqwest::Response;
@@ -126,7 +127,7 @@
         let receipt = header("bbv-receipt");
         let reason = header("bbv-reason").unwrap_or_default();
         let ending = match header("bbv-outcome").as_deref() {
-            Some("answered") => match response.bytes().await {
+            Some("answered") => match read_body(response).await {
                 Ok(body) => Ending::Answered { status, body },
                 Err(_) => return Ok(connection_lost()),
             },
@@ -137,6 +138,16 @@
     }
 }
 
+/// Reads a whole body. Pieces are copied: each lies in a read buffer, which it would keep.
+async fn read_body(mut response: Response) -> Result<Bytes, reqwest::Error> {
+    let mut bytes = Vec::new();
+    while let Some(piece) = response.chunk().await? {
+        bytes.extend_from_slice(&piece);
+    }
+    bytes.shrink_to_fit();
+    Ok(Bytes::from(bytes))
+}
+
 fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
