Name a URI that is too long so whatever the sizes of the reads

Cause: the library tells a URI that is too long only if the whole request line lies in its buffer, and gives up once 65,536 bytes do.

Change: the buffer of a caller's connection is 80 KiB at least, so that a request line somewhat beyond the library's limit fits.

--- a/crates/mesh/src/head_limits.rs
+++ b/crates/mesh/src/head_limits.rs
@@ -13,8 +13,9 @@
 /// Idle timeout of connections from other nodes and operators, and of callers before a routing is
 /// known; longer than the time for which nodes keep idle connections in their pools.
 pub(crate) const DEFAULT_IDLE_TIMEOUT: Micros = 16 * SEC;
-/// Smallest read buffer of a caller's connection.
-const MIN_BUFFER_BYTES: usize = 65_536;
+/// Smallest read buffer of a caller's connection. The library refuses a URI from 65,535 bytes on as too long
+/// if the request line fits, and any other head that does not fit as one with too large fields.
+const MIN_BUFFER_BYTES: usize = 81_920;
 /// Bytes of a header field besides its name and value: a colon and the end of the line.
 const FIELD_OVERHEAD_BYTES: usize = 3;
 
--- a/crates/mesh/tests/limits.rs
+++ b/crates/mesh/tests/limits.rs
@@ -35,6 +35,22 @@
     assert!(closed.is_ok(), "connection is still open long after the idle timeout");
 }
 
+/// A URI that is too long got 431 in place of 414 if a read ended just beyond the buffer's size.
+#[tokio::test]
+async fn uri_that_is_too_long_is_named_so_however_it_arrives() {
+    let fleet = start_fleet(16_384, 15.0).await;
+    let text = caller::request("GET", &format!("/get/{}", "p".repeat(66_000)), "id-1", 3_000, "");
+    for first in [1_000, 65_536, 65_700, 66_000] {
+        let mut stream = TcpStream::connect(fleet.callers(0)).await.expect("could not connect");
+        stream.set_nodelay(true).expect("could not set an option");
+        stream.write_all(&text.as_bytes()[..first]).await.expect("could not send the first part");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        // The node may have closed the connection.
+        let _ = stream.write_all(&text.as_bytes()[first..]).await;
+        assert_eq!(caller::read_response(&mut stream).await.status, 414, "first part {first}");
+    }
+}
+
 #[tokio::test]
 async fn oversized_request_head_is_refused() {
     let fleet = start_fleet(8_192, 15.0).await;
