review: an endpoint that left is used after a zone or a machine was cut off

Script: a machine alone in its zone is partitioned from the store; right after the heal the endpoint beside it leaves, and the machine, in touch again, uses it until 2.22 s after the acknowledgement (bound 2 s). Machines of the other zones, which the cut did not touch, send requests to an endpoint whose entry is removed later than 2 s after the acknowledgement.

As far as known: readers that were cut off take that for an outage of the store. Each answer after it begins the 2.25 s anew in which missing entries are kept, for as long as other nodes tell of failed calls, and nodes that had no outage take that time over with the changes that they pull.

--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -8,6 +8,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -209,6 +210,55 @@
 pub const BUSY: u8 = 1;
 pub const SILENT: u8 = 2;
 
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// Path between one machine and the store.
+pub struct Path {
+    addr: SocketAddr,
+    socket: i32,
+    cuts: AtomicU64,
+    cut: AtomicBool,
+    /// Connections that fill the queue of a listener, so that the kernel drops further ones.
+    fill: Mutex<Vec<TcpStream>>,
+    /// Time of the first answer since the path was healed.
+    pub answered: Mutex<Option<f64>>,
+}
+
+impl Path {
+    fn new(addr: SocketAddr, socket: i32) -> Self {
+        let (cuts, cut) = (AtomicU64::new(0), AtomicBool::new(false));
+        Path { addr, socket, cuts, cut, fill: Mutex::default(), answered: Mutex::default() }
+    }
+
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Cuts the path: open connections go silent, and new ones are not made.
+    pub fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+        self.cuts.fetch_add(1, Ordering::SeqCst);
+        sleep_ms(5);
+        // SAFETY: the socket is that of the listener, which lives as long as the program.
+        unsafe { listen(self.socket, 0) };
+        for _ in 0..2 {
+            let fill = TcpStream::connect_timeout(&self.addr, Duration::from_millis(50));
+            lock(&self.fill).extend(fill.ok());
+        }
+    }
+
+    /// Heals the path.
+    pub fn heal(&self) {
+        lock(&self.fill).clear();
+        *lock(&self.answered) = None;
+        // SAFETY: as above.
+        unsafe { listen(self.socket, 128) };
+        self.cut.store(false, Ordering::SeqCst);
+    }
+}
+
 #[derive(Default)]
 struct StoreData {
     revision: u64,
@@ -252,7 +302,7 @@
     }
 
     /// Serves one machine; the returned value says how.
-    pub fn listen(self: &Arc<Self>, ip: Ipv4Addr) -> (SocketAddr, Arc<AtomicU8>) {
+    pub fn listen(self: &Arc<Self>, ip: Ipv4Addr) -> (SocketAddr, Arc<Path>) {
         let (listener, addr) = match TcpListener::bind((ip, 0)) {
             Ok(listener) => {
                 let addr = listener.local_addr();
@@ -260,30 +310,43 @@
             }
             Err(error) => stop_unrun(&format!("store: {error}")),
         };
-        let mode = Arc::new(AtomicU8::new(SERVES));
-        let (store, shared) = (Arc::clone(self), Arc::clone(&mode));
+        let path = Arc::new(Path::new(addr, listener.as_raw_fd()));
+        let (store, shared) = (Arc::clone(self), Arc::clone(&path));
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (store, mode) = (Arc::clone(&store), Arc::clone(&shared));
-                thread::spawn(move || store.serve(stream, &mode));
+            let _ = listener.set_nonblocking(true);
+            loop {
+                if shared.is_cut() {
+                    sleep_ms(1);
+                    continue;
+                }
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        let (store, path) = (Arc::clone(&store), Arc::clone(&shared));
+                        thread::spawn(move || store.serve(stream, &path));
+                    }
+                    Err(_) => thread::sleep(Duration::from_micros(300)),
+                }
             }
         });
-        (addr, mode)
+        (addr, path)
     }
 
-    fn serve(&self, stream: TcpStream, mode: &AtomicU8) -> Option<()> {
+    fn serve(&self, stream: TcpStream, path: &Path) -> Option<()> {
         let _ = stream.set_nodelay(true);
+        let cuts = path.cuts.load(Ordering::SeqCst);
         let mut out = stream.try_clone().ok()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader).ok()? {
-            let answer = self.answer(request.target().1, mode);
-            if mode.load(Ordering::Relaxed) == SILENT {
-                // Nothing more comes on this connection; the caller closes it.
+            let answer = self.answer(request.target().1, &AtomicU8::new(SERVES));
+            if path.cuts.load(Ordering::SeqCst) != cuts {
+                // What was open when the path was cut stays silent; the caller closes it.
                 let _ = reader.read(&mut [0; 1]);
                 return None;
             }
             let body = answer.1.as_bytes();
             out.write_all(&response(answer.0, "Content-Type: application/json\r\n", body)).ok()?;
+            lock(&path.answered).get_or_insert(seconds());
         }
         None
     }
@@ -413,6 +476,7 @@
     /// Start of the present process; connections of earlier ones are dead.
     start: AtomicU64,
     up: AtomicBool,
+    leaving: AtomicBool,
     born: AtomicU64,
     sequence: AtomicU64,
     /// Time until which the endpoint is cold.
@@ -451,6 +515,7 @@
             running: AtomicU64::new(0),
             start: AtomicU64::new(0),
             up: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             born: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             cold_until: Mutex::new(0.0),
@@ -461,7 +526,7 @@
         let beating = Arc::clone(&endpoint);
         thread::spawn(move || {
             loop {
-                if beating.up.load(Ordering::SeqCst) {
+                if beating.up.load(Ordering::SeqCst) && !beating.leaving.load(Ordering::SeqCst) {
                     beating.beat();
                 }
                 sleep_ms(1_500);
@@ -534,6 +599,27 @@
         self.store.put(&format!("servers/{}", self.id()), &entry);
     }
 
+    /// Leaves without a word: the entry is removed, and the endpoint serves on for `serves`. Another process
+    /// starts after that. Returns the time at which the store had removed the entry.
+    pub fn leave(self: &Arc<Self>, serves: Duration) -> f64 {
+        self.leaving.store(true, Ordering::SeqCst);
+        self.store.remove(&format!("servers/{}", self.id()));
+        let left = seconds();
+        let endpoint = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(serves);
+            endpoint.up.store(false, Ordering::SeqCst);
+            sleep_ms(20);
+            for stream in lock(&endpoint.open).drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+            sleep_ms(500);
+            endpoint.leaving.store(false, Ordering::SeqCst);
+            endpoint.begin();
+        });
+        left
+    }
+
     /// Ends the process of the endpoint; another one starts after a while under a new id. The old entry
     /// is removed after three heartbeat intervals.
     fn crash(self: &Arc<Self>, why: &str) {
