Look for a crash wherever a request loses its upstream, and spare the requests beside it

Requests that were only open on endpoints that crashed could be refused for ten minutes.

Cause: a crash was looked for only if the connection was lost before the head of the answer, and every request that was open was put down as the cause.

Change: a crash is looked for in the head, in the body, before trailers, at the end of a body that ends with its connection, and at a refused health check within 2 s of a request whose caller left. What was open becomes suspect at all nodes of the service; a suspect runs on another upstream than the one that crashed, beside no other suspect. If that crashes, the request is refused; if it is answered, it is cleared everywhere. An upstream that was leaving has not crashed.

Why it works: a request that ends each endpoint is the only suspect on the second one, at any point, and has no whole answer that could clear it; a sound one has.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! - bbv-mesh: [`admission`] (with the private modules `cold` and `knee`), [`body_budget`],
 //!   [`bucket`], [`claims`], [`credential`], [`distance`], [`freshness`], [`granter`],
-//!   [`history`], [`homes`], [`index`], [`lag`], [`organisation`], [`outage`], [`peer`],
+//!   [`history`], [`homes`], [`index`], [`lag`], [`open_runs`], [`organisation`], [`outage`], [`peer`],
 //!   [`pipeline`], [`placement`], [`readers`], [`region_choice`], [`region_watch`],
 //!   [`restoration`], [`retry_budget`], [`revision`], [`route`], [`routing_change`],
 //!   [`routing_page`], [`shares`], [`slow_period`] and [`view`].
@@ -43,6 +43,7 @@
 pub mod limit;
 pub mod load;
 pub mod needs;
+pub mod open_runs;
 pub mod operation;
 pub mod organisation;
 pub mod outage;
--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -86,6 +86,76 @@
         true
     }
 
+    /// Records that a request was open on an upstream that crashed, beside others that may have crashed it.
+    /// Returns whether nothing was known of it.
+    ///
+    /// ```
+    /// use bbv_core::{id::Vm, poison::{Crash, Suspects, Suspicion}};
+    /// let mut suspects = Suspects::default();
+    /// assert!(suspects.suspect(0, Crash { fingerprint: 1, vm: Vm(1) }));
+    /// assert!(!suspects.suspect(0, Crash { fingerprint: 1, vm: Vm(2) }));
+    /// assert_eq!(suspects.suspicion(0, 1), Suspicion::Suspect);
+    /// ```
+    pub fn suspect(&mut self, now: Micros, crash: Crash) -> bool {
+        self.suspicion(now, crash.fingerprint) == Suspicion::Clear && {
+            self.records.remove(&crash.fingerprint);
+            self.record_crash(now, crash)
+        }
+    }
+
+    /// Records that a suspect request crashed an upstream on which no other suspect ran. It is refused from
+    /// now on, if that is not the upstream that crashed before: one that crashes again and again may do so
+    /// whatever it runs. Returns whether it is refused since.
+    ///
+    /// ```
+    /// use bbv_core::{id::Vm, poison::{Crash, Suspects, Suspicion}};
+    /// let mut suspects = Suspects::default();
+    /// suspects.suspect(0, Crash { fingerprint: 1, vm: Vm(1) });
+    /// assert!(!suspects.prove(0, Crash { fingerprint: 1, vm: Vm(1) }));
+    /// assert!(suspects.prove(0, Crash { fingerprint: 1, vm: Vm(2) }));
+    /// assert_eq!(suspects.suspicion(0, 1), Suspicion::Poison);
+    /// ```
+    pub fn prove(&mut self, now: Micros, crash: Crash) -> bool {
+        if self.suspect(now, crash) {
+            return false;
+        }
+        self.record_crash(now, crash)
+    }
+
+    /// Records the two crashes for which another node refuses a request.
+    ///
+    /// ```
+    /// use bbv_core::{id::Vm, poison::{Crash, Suspects, Suspicion}};
+    /// let mut suspects = Suspects::default();
+    /// suspects.refuse(0, 1, [Vm(1), Vm(2)]);
+    /// assert_eq!(suspects.suspicion(0, 1), Suspicion::Poison);
+    /// ```
+    pub fn refuse(&mut self, now: Micros, fingerprint: Fingerprint, vms: [Vm; 2]) {
+        for vm in vms {
+            self.record_crash(now, Crash { fingerprint, vm });
+        }
+        // What is known here may be a crash of one of the two only.
+        let [first, second] = vms;
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.second.get_or_insert(if record.first == first { second } else { first });
+        }
+    }
+
+    /// Records that a suspect request was answered by an upstream that went on running: another one that
+    /// was open beside it caused the crash. Returns whether it was suspect.
+    ///
+    /// ```
+    /// use bbv_core::{id::Vm, poison::{Crash, Suspects, Suspicion}};
+    /// let mut suspects = Suspects::default();
+    /// suspects.suspect(0, Crash { fingerprint: 1, vm: Vm(1) });
+    /// assert!(suspects.clear(0, 1) && !suspects.clear(0, 1));
+    /// assert_eq!(suspects.suspicion(0, 1), Suspicion::Clear);
+    /// ```
+    pub fn clear(&mut self, now: Micros, fingerprint: Fingerprint) -> bool {
+        let suspect = self.suspicion(now, fingerprint) == Suspicion::Suspect;
+        suspect && self.records.remove(&fingerprint).is_some()
+    }
+
     fn evict_oldest(&mut self) {
         let oldest = self
             .records
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -9,7 +9,7 @@
 use bbv_core::admission::{
     self, AdmissionDecision, AdmissionDequeued, AdmissionRefusal, RefusalReason,
 };
-use bbv_core::poison::Suspicion;
+use bbv_core::poison::{Fingerprint, Suspicion};
 use bbv_core::room::urgency;
 use bbv_core::route::Name;
 use bbv_core::units::{MS, Micros};
@@ -19,7 +19,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedMutexGuard, oneshot};
 
 use crate::attempt::RunningAttempt;
 use crate::body::{self, BodyError};
@@ -30,8 +30,12 @@
 use crate::ingress::{self, DEFAULT_RETRY_AFTER};
 use crate::message::{GateOutcome, GateReply, GateRequest};
 use crate::node::{Node, OpenRequest};
+use crate::notice::vm_of;
+use crate::open_run::OpenRun;
 use crate::pool::{Connection, SendError};
 use crate::response::{self, ResponseCheck};
+use crate::state::State;
+use crate::verdict::Verdict;
 
 /// `Retry-After` of a request that is refused because it crashed upstreams; it should not be
 /// retried earlier.
@@ -183,8 +187,13 @@
     ) -> Completion {
         let long = metadata.service_time >= LONG_REQUEST;
         self.refresh_report(if long { SPEED_MAX_AGE } else { Micros::MAX }).await;
-        let permit = match self.admit(metadata, arrived).await {
-            Ok(permit) => permit,
+        let late = (GateOutcome::Refused(RefusalReason::Late), 0);
+        let admitted = match self.take_suspect_turn(metadata, arrived).await {
+            Some(turn) => self.admit(metadata, arrived).await.map(|permit| (permit, turn)),
+            None => Err(late),
+        };
+        let (permit, turn) = match admitted {
+            Ok(admitted) => admitted,
             Err((outcome, retry_after)) => return Completion::refused(outcome, retry_after),
         };
         if self.forbids(metadata, &head) {
@@ -197,7 +206,7 @@
         let deadline = arrived + metadata.timeout;
         let id = head.headers.get(header::ATTEMPT_ID);
         let mut attempt = RunningAttempt::new(self, id, route, metadata, deadline);
-        let response = self.forward(metadata, head, body, deadline);
+        let response = self.forward(metadata, head, body, deadline, turn.is_some());
         match self.timer.timeout_at(deadline, response).await {
             None => Completion::failed(
                 GateOutcome::Expired,
@@ -218,6 +227,37 @@
         }
     }
 
+    /// Waits until no other suspect request runs on the upstream, if the request is suspect; returns `None`
+    /// if its time is up.
+    async fn take_suspect_turn(
+        &self,
+        metadata: &GateRequest,
+        arrived: Micros,
+    ) -> Option<Option<OwnedMutexGuard<()>>> {
+        let is_suspect = || {
+            let state = self.lock();
+            let suspicion = state.suspects.suspicion(arrived, metadata.fingerprint);
+            suspicion == Suspicion::Suspect
+                && !self.belongs_elsewhere(&state, arrived, metadata.fingerprint)
+        };
+        if !is_suspect() {
+            return Some(None);
+        }
+        let turn = Arc::clone(&self.suspect_turn).lock_owned();
+        let turn = self.timer.timeout_at(arrived + metadata.timeout, turn).await?;
+        Some(is_suspect().then_some(turn))
+    }
+
+    /// Returns whether a request is suspect since it was open when the upstream of this node crashed, and
+    /// there are others to run it: only those can tell whether it was the cause.
+    fn belongs_elsewhere(&self, state: &State, now: Micros, fingerprint: Fingerprint) -> bool {
+        let own = vm_of(self.settings.upstream.ip());
+        let crashes = state.suspects.crashes(fingerprint);
+        state.suspects.suspicion(now, fingerprint) == Suspicion::Suspect
+            && crashes.iter().any(|crash| crash.vm == own)
+            && state.index.usable(&self.settings.service).len() > 1
+    }
+
     /// Waits for admission to the upstream.
     async fn admit(
         self: &Arc<Self>,
@@ -236,7 +276,9 @@
             let other_instance =
                 state.local.instance.as_ref().is_some_and(|own| **own != *metadata.instance);
             let listed = state.view.upstreams.get(metadata.instance.as_str());
-            if self.closing() || other_instance || listed.is_some_and(|up| up.draining) {
+            let elsewhere = self.belongs_elsewhere(&state, arrived, metadata.fingerprint);
+            if self.closing() || elsewhere || other_instance || listed.is_some_and(|up| up.draining)
+            {
                 return refused(closed);
             }
             let mut rank = metadata.rank;
@@ -277,7 +319,7 @@
     /// Waits until a queued request is dequeued or its time is up, and keeps the speed of the
     /// upstream known, since the request may wait for the end of a slow period.
     async fn wait_in_queue(
-        &self,
+        self: &Arc<Self>,
         deadline: Micros,
         mut wake: oneshot::Receiver<AdmissionDequeued>,
     ) -> Option<AdmissionDequeued> {
@@ -302,6 +344,7 @@
         mut head: Parts,
         body: Content,
         deadline: Micros,
+        suspect: bool,
     ) -> Result<Response<Full<Content>>, Completion> {
         let method = head.method.clone();
         let attempt = head.headers.get(header::ATTEMPT_ID).cloned();
@@ -309,6 +352,7 @@
         header::set_target(&mut head.headers, timeout, Some(&metadata.instance));
         let request = Request::from_parts(head, Full::new(body));
         let upstream = self.settings.upstream;
+        let run = OpenRun::start(self, metadata.fingerprint, suspect);
         let sent = match &attempt {
             Some(attempt) => self.upstream_pool.send_attempt(upstream, request, attempt).await,
             None => self.upstream_pool.send(upstream, request).await,
@@ -316,10 +360,11 @@
         let (response, conn) = match sent {
             Ok(sent) => sent,
             Err(SendError::Unsent(cause)) => {
+                run.end();
                 return Err(Completion::failed(GateOutcome::Unsent, cause));
             }
             Err(SendError::Lost(cause)) => {
-                self.detect_crash(metadata);
+                self.detect_crash();
                 return Err(Completion::failed(GateOutcome::Lost, cause));
             }
         };
@@ -329,18 +374,40 @@
         if let ResponseCheck::Invalid(cause) = check {
             return Err(Completion::failed(GateOutcome::Lost, cause.to_owned()));
         }
-        let body = self.read_answer(&head, body, conn).await;
-        let body =
-            body.map_err(|error| Completion::failed(GateOutcome::Lost, error.to_string()))?;
+        let ends_connection = response::ends_connection(&head, &body);
+        let body = match self.read_answer(&head, body, conn).await {
+            Ok(body) => body,
+            Err(error) => {
+                if matches!(error, BodyError::Broken(_)) {
+                    self.detect_crash();
+                }
+                return Err(Completion::failed(GateOutcome::Lost, error.to_string()));
+            }
+        };
+        if check != ResponseCheck::NotRun && ends_connection {
+            // A crash ends such an answer as well.
+            self.check_end(run, metadata.fingerprint);
+            return Ok(response::forwarded(&method, head, body));
+        }
+        run.end();
         if check == ResponseCheck::NotRun {
             return Err(Completion::failed(
                 GateOutcome::Rejected,
                 format!("status {}", head.status.as_u16()),
             ));
         }
+        self.record_sound(metadata.fingerprint);
         Ok(response::forwarded(&method, head, body))
     }
 
+    /// Records that the upstream has answered a request and runs on.
+    pub(crate) fn record_sound(&self, fingerprint: Fingerprint) {
+        let now = self.now();
+        if self.lock().suspects.clear(now, fingerprint) {
+            self.tell_verdicts(&[Verdict::Clear(fingerprint)]);
+        }
+    }
+
     /// Reads a complete body and returns the connection to the pool.
     async fn read_answer(
         &self,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod node;
 mod notice;
+mod open_run;
 mod pool;
 mod probe;
 mod progress;
@@ -43,6 +44,7 @@
 mod shed;
 mod state;
 mod tapped;
+mod verdict;
 mod withheld;
 
 pub use node::Node;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -45,6 +45,8 @@
     pub(crate) upstream_pool: Pool,
     /// Held by the task that checks the upstream before a request.
     pub(crate) check_turn: tokio::sync::Mutex<()>,
+    /// Held by the one suspect request that runs on the upstream.
+    pub(crate) suspect_turn: Arc<tokio::sync::Mutex<()>>,
     pub(crate) request_bodies: Arc<Mutex<BodyBudget>>,
     pub(crate) response_bodies: Arc<Mutex<BodyBudget>>,
     pub(crate) open_requests: AtomicU64,
@@ -98,6 +100,7 @@
             peer_pool: pool(head_limits::NODE_FIELDS),
             upstream_pool: pool(0),
             check_turn: tokio::sync::Mutex::default(),
+            suspect_turn: Arc::default(),
             request_bodies: Arc::new(Mutex::new(BodyBudget::new(settings.request_memory))),
             response_bodies: bodies,
             open_requests: AtomicU64::new(0),
--- a/crates/mesh/src/notice.rs
+++ b/crates/mesh/src/notice.rs
@@ -8,7 +8,7 @@
 use bbv_core::freshness::FRESH_TIME;
 use bbv_core::id::Vm;
 use bbv_core::placement::LoadReport;
-use bbv_core::poison::Crash;
+use bbv_core::poison::{Crash, Suspicion};
 use bbv_core::revision::begins_era;
 use bbv_core::room::Room;
 use bbv_core::route::Name;
@@ -23,6 +23,7 @@
 use crate::message::Known;
 use crate::node::{Node, RECENT_INGRESS_TTL};
 use crate::state::State;
+use crate::verdict::Verdict;
 
 /// Interval at which queued requests and due notices are checked.
 const TICK_INTERVAL: Micros = 10 * MS;
@@ -36,6 +37,8 @@
 const GOSSIP_INTERVAL: Micros = 1_000 * MS;
 /// Bytes after a notice whose receiver is asked for a notice; nodes that do not know them ignore them.
 const ASKS: [u8; 1] = [1];
+/// Most verdicts in one notice.
+const MAX_VERDICTS: usize = 32;
 /// Size of the receive buffer; no node sends a larger notice.
 const MAX_NOTICE_BYTES: usize = 1_400;
 
@@ -64,7 +67,8 @@
     room_pct: u16,
     /// Time until more room is expected, in milliseconds.
     lack_ms: u16,
-    crash: Option<Crash>,
+    /// What is known of requests that were open when an upstream crashed.
+    verdicts: Vec<Verdict>,
     /// Age of what the node knows of upstreams.
     upstreams_age: Option<Micros>,
     /// Age of what it knows of the routing and of zones.
@@ -142,7 +146,7 @@
 }
 
 impl Node {
-    fn build_notice(&self, crash: Option<Crash>) -> Notice {
+    fn build_notice(&self, verdicts: &[Verdict]) -> Notice {
         let now = self.now();
         let state = self.lock();
         let failing = state.has_failed_calls().then(|| state.outage.lasted(now)).flatten();
@@ -164,7 +168,7 @@
             cold: report.cold,
             room_pct: report.room.level_pct,
             lack_ms: report.room.lack_ms,
-            crash,
+            verdicts: verdicts.to_vec(),
             upstreams_age: state.age(now, Topic::Upstreams),
             control_age: state.age(now, Topic::Control),
             failing,
@@ -199,20 +203,20 @@
             let urgent_cross_zone = UrgentState { closed, stopping, ..UrgentState::default() };
             self.announce_revisions(&socket, now, &mut reader_notices, &mut announced);
             if same_zone.take_due(now, urgent_state, HEARTBEAT) {
-                self.send_to(&socket, &self.recent_senders(now, Distance::Zone), None);
+                self.send_to(&socket, &self.recent_senders(now, Distance::Zone), &[]);
             }
             if cross_zone.take_due(now, urgent_cross_zone, CROSS_ZONE_HEARTBEAT) {
-                self.send_to(&socket, &self.recent_senders(now, Distance::Region), None);
+                self.send_to(&socket, &self.recent_senders(now, Distance::Region), &[]);
             }
             // Replies carry the load to other regions.
             if cross_region.take_changed(now, urgent_cross_zone) {
-                self.send_to(&socket, &self.recent_senders(now, Distance::Remote), None);
+                self.send_to(&socket, &self.recent_senders(now, Distance::Remote), &[]);
             }
             if now >= gossiped_at + GOSSIP_INTERVAL {
                 gossiped_at = now;
                 let mut peers = self.remote_region_peers();
                 peers.extend(self.random_peer());
-                self.send_to(&socket, &peers, None);
+                self.send_to(&socket, &peers, &[]);
                 self.ask_silent_peers(&socket, now);
             }
         }
@@ -272,13 +276,13 @@
                 peers.extend(self.remote_peers(REMOTE_FANOUT));
                 peers.extend(self.remote_region_peers());
             }
-            self.send_to(socket, &peers, None);
+            self.send_to(socket, &peers, &[]);
         }
         let failed = self.lock().readers.take_unannounced();
         let due =
             self.reads_store() && reader_notices.take_due(now, UrgentState::default(), HEARTBEAT);
         if failed || due {
-            self.send_to(socket, &self.heartbeat_peers(), None);
+            self.send_to(socket, &self.heartbeat_peers(), &[]);
         }
     }
 
@@ -332,7 +336,7 @@
     fn ask_owing_nodes(&self, socket: &UdpSocket, now: Micros) {
         let owing = self.lock().region_watch.take_questions(now);
         if !owing.is_empty() {
-            self.send_notice(socket, &owing, &self.build_notice(None), &ASKS);
+            self.send_notice(socket, &owing, &self.build_notice(&[]), &ASKS);
         }
     }
 
@@ -340,15 +344,15 @@
     fn ask_silent_peers(&self, socket: &UdpSocket, now: Micros) {
         let silent = self.silent_peers(now);
         if !silent.is_empty() {
-            self.send_notice(socket, &silent, &self.build_notice(None), &ASKS);
+            self.send_notice(socket, &silent, &self.build_notice(&[]), &ASKS);
         }
     }
 
-    fn send_to(&self, socket: &UdpSocket, to: &[IpAddr], crash: Option<Crash>) {
+    fn send_to(&self, socket: &UdpSocket, to: &[IpAddr], verdicts: &[Verdict]) {
         if to.is_empty() {
             return;
         }
-        self.send_notice(socket, to, &self.build_notice(crash), &[]);
+        self.send_notice(socket, to, &self.build_notice(verdicts), &[]);
     }
 
     fn send_notice(&self, socket: &UdpSocket, to: &[IpAddr], notice: &Notice, end: &[u8]) {
@@ -364,15 +368,16 @@
         }
     }
 
-    /// Notifies the other nodes of this service of a crash.
-    pub(crate) fn notify_crash(&self, socket: &UdpSocket, crash: Crash) {
+    /// Tells the other nodes of this service what is known of requests that were open in a crash.
+    pub(crate) fn tell_verdicts(&self, verdicts: &[Verdict]) {
+        let Some(socket) = self.notice_socket.get() else { return };
         let peers: Vec<IpAddr> = {
             let state = self.lock();
             let own = self.settings.peers.ip();
             let ips = state.index.usable(&self.settings.service).iter().map(|(_, up)| up.addr.ip());
             ips.filter(|ip| *ip != own).collect()
         };
-        self.send_to(socket, &peers, Some(crash));
+        verdicts.chunks(MAX_VERDICTS).for_each(|some| self.send_to(socket, &peers, some));
     }
 
     /// Receives notices for the lifetime of the process.
@@ -407,7 +412,7 @@
         let (notice, end) = postcard::take_from_bytes::<Notice>(bytes)?;
         self.apply_notice(from, &notice);
         if end == ASKS {
-            self.send_to(socket, &[from], None);
+            self.send_to(socket, &[from], &[]);
         }
         Ok(())
     }
@@ -435,15 +440,40 @@
                     stats.stop_avoiding();
                 }
             }
-            if let Some(crash) = notice.crash {
-                state.suspects.record_crash(now, crash);
-            }
             state.confirm_known(now, notice);
         }
+        let known = self.apply_verdicts(now, &notice.verdicts);
+        if let (false, Some(socket)) = (known.is_empty(), self.notice_socket.get()) {
+            self.send_to(socket, &[from], &known);
+        }
         let known = Known { upstreams: notice.revision, control: notice.control };
         self.pull_newer(from, known);
     }
 
+    /// Applies what a node tells of requests that were open in a crash. Returns what it does not know, as it
+    /// may have started since.
+    fn apply_verdicts(&self, now: Micros, verdicts: &[Verdict]) -> Vec<Verdict> {
+        let mut state = self.lock();
+        let mut unknown = Vec::new();
+        for verdict in verdicts {
+            match *verdict {
+                Verdict::Suspect(Crash { fingerprint, .. })
+                    if state.suspects.suspicion(now, fingerprint) == Suspicion::Poison =>
+                {
+                    unknown.extend(Verdict::of(&state.suspects.crashes(fingerprint)));
+                }
+                Verdict::Suspect(crash) => {
+                    state.suspects.suspect(now, crash);
+                }
+                Verdict::Poison(fingerprint, vms) => state.suspects.refuse(now, fingerprint, vms),
+                Verdict::Clear(fingerprint) => {
+                    state.suspects.clear(now, fingerprint);
+                }
+            }
+        }
+        unknown
+    }
+
     /// Pulls changes from the node at `from`, which knows `known`, if this node lacks them.
     fn pull_newer(self: &Arc<Self>, from: IpAddr, known: Known) {
         let behind = {
--- a/crates/mesh/src/probe.rs
+++ b/crates/mesh/src/probe.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bbv_core::poison::Crash;
+use bbv_core::open_runs::Blame;
+use bbv_core::poison::{Crash, Fingerprint};
 use bbv_core::units::{MS, Micros};
 use bbv_platform::header;
 use http::header::HOST;
@@ -12,10 +13,11 @@
 use http_body_util::Full;
 
 use crate::event::{self, Event};
-use crate::message::GateRequest;
 use crate::node::Node;
 use crate::notice::vm_of;
+use crate::open_run::OpenRun;
 use crate::pool::SendError;
+use crate::verdict::Verdict;
 
 /// Interval at which the loop looks whether a check is due; that of checks while the upstream does
 /// not accept connections.
@@ -58,7 +60,7 @@
 
     /// Checks the upstream before it gets a request if its cold state or, for a request that takes
     /// long, its speed is not known well enough. Requests that arrive together share one check.
-    pub(crate) async fn refresh_report(&self, max_speed_age: Micros) {
+    pub(crate) async fn refresh_report(self: &Arc<Self>, max_speed_age: Micros) {
         let _turn = self.check_turn.lock().await;
         let now = self.now();
         let (reported_at, checked_at) = {
@@ -72,7 +74,7 @@
     }
 
     /// Runs one health check.
-    pub(crate) async fn check_health(&self) {
+    pub(crate) async fn check_health(self: &Arc<Self>) {
         let path = self.lock().local_limits(&self.settings).map(|limits| limits.health.clone());
         let Some(path) = path else { return };
         let host = self.settings.upstream.to_string();
@@ -97,7 +99,13 @@
                 }
                 self.apply_health(&head.headers);
             }
-            Some(Err(SendError::Unsent(cause))) => self.mark_down(&cause),
+            Some(Err(SendError::Unsent(cause))) => {
+                // A request whose caller has left may have crashed it.
+                if self.lock().local.runs.may_crash(now) {
+                    self.detect_crash();
+                }
+                self.mark_down(&cause);
+            }
             Some(Err(SendError::Lost(cause))) => {
                 event::info(Event::ProbeFailed, &[("why", &cause)])
             }
@@ -138,30 +146,79 @@
         state.set_down(&self.settings, true);
     }
 
-    /// Checks whether the upstream crashed after a request lost its connection; if so, records the
-    /// crash and, if it is new, notifies the other nodes of the service.
-    pub(crate) fn detect_crash(self: &Arc<Self>, metadata: &GateRequest) {
-        let fingerprint = metadata.fingerprint;
+    /// Checks whether the upstream crashed, after a request has lost its connection at any point. If so,
+    /// decides which requests that is put down to and tells the other nodes of the service.
+    pub(crate) fn detect_crash(self: &Arc<Self>) {
+        let node = Arc::clone(self);
+        tokio::spawn(async move { node.blame_if_refused().await });
+    }
+
+    /// Checks whether the upstream crashed, after the answer to `run` has ended with its connection.
+    pub(crate) fn check_end(self: &Arc<Self>, run: OpenRun, fingerprint: Fingerprint) {
         let node = Arc::clone(self);
         tokio::spawn(async move {
-            let upstream = node.settings.upstream;
-            let connect = tokio::net::TcpStream::connect(upstream);
-            let refused = match tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect).await {
-                Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-                _ => false,
+            if !node.blame_if_refused().await {
+                run.end();
+                node.record_sound(fingerprint);
+            }
+        });
+    }
+
+    /// Blames requests for a crash if the upstream refuses connections; returns whether it does.
+    async fn blame_if_refused(&self) -> bool {
+        let connect = tokio::net::TcpStream::connect(self.settings.upstream);
+        let refused = match tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect).await {
+            Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+            _ => false,
+        };
+        if refused {
+            self.mark_down("connection refused after a request was lost");
+            self.blame_crash();
+        }
+        refused
+    }
+
+    /// Decides which requests a crash of the upstream is put down to. An upstream that was leaving has ended
+    /// as planned.
+    fn blame_crash(&self) {
+        let now = self.now();
+        let vm = vm_of(self.settings.upstream.ip());
+        let verdicts: Vec<Verdict> = {
+            let mut state = self.lock();
+            let state = &mut *state;
+            let blame = state.local.runs.take_blame(now);
+            let ends = match state.local_entry(&self.settings) {
+                Some((_, entry)) => entry.draining,
+                None => state.local.listed,
             };
-            if !refused {
-                return;
+            let crash = |fingerprint| Crash { fingerprint, vm };
+            match blame {
+                _ if ends => Vec::new(),
+                Blame::Nobody => Vec::new(),
+                Blame::Proven(fingerprint) => {
+                    state.suspects.prove(now, crash(fingerprint));
+                    Verdict::of(&state.suspects.crashes(fingerprint)).into_iter().collect()
+                }
+                Blame::OneOf(open) => {
+                    let mut is_new = |fingerprint: &Fingerprint| {
+                        state.suspects.suspect(now, crash(*fingerprint))
+                    };
+                    let new: Vec<Fingerprint> = open.into_iter().filter(&mut is_new).collect();
+                    new.into_iter().map(|new| Verdict::Suspect(crash(new))).collect()
+                }
             }
-            node.mark_down("connection refused after a request was lost");
-            let crash = Crash { fingerprint, vm: vm_of(upstream.ip()) };
-            let now = node.now();
-            let new = node.lock().suspects.record_crash(now, crash);
+        };
+        for verdict in &verdicts {
+            let (fingerprint, proven) = match verdict {
+                Verdict::Suspect(crash) => (crash.fingerprint, false),
+                Verdict::Poison(fingerprint, _) => (*fingerprint, true),
+                Verdict::Clear(_) => continue,
+            };
             let fingerprint = format!("{fingerprint:016x}");
-            event::warn(Event::UpstreamCrashed, &[("print", &fingerprint), ("new", &new)]);
-            if let (true, Some(socket)) = (new, node.notice_socket.get()) {
-                node.notify_crash(socket, crash);
-            }
-        });
+            let values: [(&str, &dyn std::fmt::Display); 2] =
+                [("print", &fingerprint), ("proven", &proven)];
+            event::warn(Event::UpstreamCrashed, &values);
+        }
+        self.tell_verdicts(&verdicts);
     }
 }
--- a/crates/mesh/src/response.rs
+++ b/crates/mesh/src/response.rs
@@ -9,6 +9,7 @@
 use http::response::Parts;
 use http::{Method, Response, StatusCode};
 use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 
 use crate::content::Content;
 
@@ -105,6 +106,12 @@
     Some(std::time::Duration::from_secs(seconds.parse().ok()?))
 }
 
+/// Returns whether only the end of its connection ends the body of a response.
+pub(crate) fn ends_connection(head: &Parts, body: &Incoming) -> bool {
+    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    !body.is_end_stream() && !framed.iter().any(|name| head.headers.contains_key(name))
+}
+
 /// Builds the response to forward from one that was received.
 pub(crate) fn forwarded(
     method: &Method,
--- a/crates/mesh/src/state.rs
+++ b/crates/mesh/src/state.rs
@@ -10,6 +10,7 @@
 use bbv_core::index::Index;
 use bbv_core::lag::MAX_LAG_DELAY;
 use bbv_core::needs::Needs;
+use bbv_core::open_runs::OpenRuns;
 use bbv_core::outage::{Outage, shortest_outage};
 use bbv_core::pauses::Pauses;
 use bbv_core::peer::Peer;
@@ -82,6 +83,8 @@
     pub down: bool,
     /// Attempts that run on it.
     pub attempts: HashMap<HeaderValue, AttemptState>,
+    /// Requests that run on it, or may, as far as a crash is put down to them.
+    pub runs: OpenRuns,
     /// Time of its latest health check.
     pub checked_at: Micros,
     /// Time of its latest load report.
