--- a/crates/mesh/tests/crash.rs
+++ b/crates/mesh/tests/crash.rs
@@ -5,7 +5,7 @@
 
 use bbv_stand::caller;
 use bbv_stand::fleet::Fleet;
-use bbv_stand::upstream::{Behaviour, CrashPoint, Cut, POISON};
+use bbv_stand::upstream::{CrashPoint, Cut, POISON};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -39,8 +39,7 @@
 
 async fn start(point: CrashPoint) -> Fleet {
     let fleet = Fleet::start(&["z", "z", "z"]).await;
-    let behaviour = Behaviour::CrashesAt(point);
-    fleet.members.iter().for_each(|member| member.upstream.set_behaviour(behaviour));
+    fleet.members.iter().for_each(|member| *member.upstream.poison.lock() = Some(point));
     fleet
 }
 
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::bursts::{self, Action, Step};
+use crate::departures;
 use crate::drills;
 use crate::faults::{self, Fault, Node};
 use crate::growth;
@@ -55,6 +56,11 @@
 /// XORed with the seed of a run to seed the drills.
 const DRILL_SEED_MASK: u64 = 0xe7a;
 
+/// Probability that a cut with departures starts along with a fault.
+const CUT_PROBABILITY: f64 = 0.3;
+/// XORed with the seed of a run to seed these cuts.
+const CUT_SEED_MASK: u64 = 0xc07;
+
 /// Probability that a flood of pieces starts along with a fault.
 const FLOOD_PROBABILITY: f64 = 0.3;
 /// XORed with the seed of a run to seed the floods.
@@ -85,6 +91,8 @@
     next_drill: Duration,
     /// Time from which the next flood may start.
     next_flood: Duration,
+    /// Time from which the next cut with departures may start.
+    next_cut: Duration,
     /// Copy of the store, while a drill lasts.
     copy: Option<StoreCopy>,
     /// What the store has lost in a drill.
@@ -120,6 +128,7 @@
             next_outage: Duration::ZERO,
             next_drill: Duration::ZERO,
             next_flood: Duration::ZERO,
+            next_cut: Duration::ZERO,
             copy: None,
             lost: None,
             steps: Vec::new(),
@@ -137,6 +146,7 @@
         let mut outage_rng = SmallRng::seed_from_u64(options.seed ^ OUTAGE_SEED_MASK);
         let mut flood_rng = SmallRng::seed_from_u64(options.seed ^ FLOOD_SEED_MASK);
         let mut drill_rng = SmallRng::seed_from_u64(options.seed ^ DRILL_SEED_MASK);
+        let mut cut_rng = SmallRng::seed_from_u64(options.seed ^ CUT_SEED_MASK);
         // Faults that reset connections to the store hide calls that an outage has silenced.
         let only_outages = options.site && options.seed.is_multiple_of(2);
         let pauses = if only_outages { OUTAGE_PAUSES } else { 1 };
@@ -162,6 +172,9 @@
             if options.drills && drill_rng.random_bool(DRILL_PROBABILITY) {
                 self.add_drill(&mut drill_rng);
             }
+            if options.cuts && cut_rng.random_bool(CUT_PROBABILITY) {
+                self.add_cut(&mut cut_rng);
+            }
             if flood_rng.random_bool(FLOOD_PROBABILITY) {
                 self.add_flood(&mut flood_rng);
             }
@@ -225,6 +238,17 @@
         }
     }
 
+    /// Adds a cut with departures if the last one is long enough ago.
+    fn add_cut(&mut self, rng: &mut SmallRng) {
+        let now = self.started.elapsed();
+        let steps = departures::draw(rng, self.nodes.len(), now);
+        if now >= self.next_cut {
+            self.next_cut = now + departures::MIN_PAUSE;
+            self.steps.extend(steps);
+            self.steps.sort_by_key(|step| Reverse(step.at));
+        }
+    }
+
     /// Adds a flood of pieces if the last one is long enough ago.
     fn add_flood(&mut self, rng: &mut SmallRng) {
         let now = self.started.elapsed();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,7 +17,8 @@
 bbv-soak: runs bbv-mesh nodes under seeded faults and checks their guarantees from outside
 
 usage: bbv-soak --program PATH [--seed N] [--seeds N] [--seconds N] [--nodes N] [--routes N]
-    [--zones N] [--site] [--no-drills] [--memory-mb N] [--folder PATH]
+    [--zones N] [--site] [--no-drills] [--no-cuts] [--no-crashes] [--memory-mb N]
+    [--folder PATH]
 
 exit codes: 0 all guarantees held, 1 one was violated or a run failed, 2 bad usage
 ",
@@ -34,6 +35,8 @@
     options.optopt("", "routes", "largest number of routes that configurations add", "N");
     options.optopt("", "zones", "number of zones, up to 5", "N");
     options.optflag("", "no-drills", "the store never comes back from an older copy");
+    options.optflag("", "no-cuts", "no upstream leaves right after a cut from the store");
+    options.optflag("", "no-crashes", "no request ends the upstreams that run it");
     options.optflag("", "site", "links like a deployment's, and outages of the whole store");
     options.optopt("", "memory-mb", "memory that a process may take", "N");
     options.optopt("", "folder", "folder for settings and logs", "PATH");
@@ -65,6 +68,8 @@
             zones: number(matches, "zones", 2)? as usize,
             site: matches.opt_present("site"),
             drills: !matches.opt_present("no-drills"),
+            cuts: !matches.opt_present("no-cuts"),
+            crashes: !matches.opt_present("no-crashes"),
             duration: Duration::from_secs(number(matches, "seconds", 12)?),
             memory: number(matches, "memory-mb", MEMORY_MB)? << 20,
             program: PathBuf::from(&program),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -29,6 +29,7 @@
 use crate::leaving::{Absence, late_requests};
 use crate::limits;
 use crate::memory::MemoryMonitor;
+use crate::poison;
 use crate::served::Served;
 use crate::versions::{VersionMonitor, status_of, version_route};
 
@@ -50,6 +51,10 @@
     pub site: bool,
     /// Whether the store comes back from older copies.
     pub drills: bool,
+    /// Whether upstreams leave right after cuts from the store.
+    pub cuts: bool,
+    /// Whether a request comes that ends the upstreams that run it.
+    pub crashes: bool,
     /// Memory that a process may take, in bytes.
     pub memory: u64,
     /// Path of the `bbv-mesh` program.
@@ -122,6 +127,8 @@
 const LAST_LINES: usize = 40;
 /// XORed with the seed of a run and the number of a node to seed its monitor of routes.
 const MONITOR_SEED_MASK: u64 = 0xf0_0000;
+/// XORed with the seed of a run to seed the request that ends upstreams.
+const POISON_SEED_MASK: u64 = 0x9015_0000;
 /// Number of the version that is published once the faults have ended.
 const LAST_VERSION: u64 = 1_000;
 /// Rate of the slow link, in megabits per second.
@@ -157,6 +164,9 @@
     tasks.extend(start_force_monitors(&fleet, options.seed, &nodes, &history, &checker, &stop));
     let peak = Arc::new(AtomicU64::new(0));
     tasks.extend(start_memory_monitors(&nodes, options.memory, &peak, &checker, &stop));
+    if options.crashes {
+        tasks.push(start_poison(&fleet, options.seed, &checker, &stop));
+    }
     let injector = Injector::new(options, &fleet, &mut nodes, &newest, &history, &calm)?;
     let (faults, absences) = injector.run(options).await?;
     faults::clear(&fleet, &mut nodes).await?;
@@ -172,6 +182,10 @@
             .for_each(|violation| checker.add_violation(violation));
     }
     check_absences(&fleet, &nodes, &absences, &checker);
+    let upstreams: Vec<_> = fleet.members.iter().map(|it| Arc::clone(&it.upstream)).collect();
+    let disturbances: Vec<_> = nodes.iter().map(|node| Arc::clone(&node.disturbances)).collect();
+    let violation = poison::violation(&upstreams, &disturbances);
+    violation.into_iter().for_each(|violation| checker.add_violation(violation));
     let requests = fleet.members.iter().map(|member| member.upstream.requests.lock().clone());
     let runs: Vec<ReceivedRequest> =
         requests.flatten().filter(|run| !run.has_id("probe")).collect();
@@ -187,6 +201,20 @@
     })
 }
 
+/// Starts a caller whose request ends the upstreams that run it.
+fn start_poison(
+    fleet: &Fleet,
+    seed: u64,
+    checker: &Arc<Checker>,
+    stop: &Arc<AtomicBool>,
+) -> tokio::task::JoinHandle<()> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ POISON_SEED_MASK);
+    let point = poison::draw_point(&mut rng);
+    fleet.members.iter().for_each(|member| *member.upstream.poison.lock() = Some(point));
+    let nodes = (0..fleet.members.len()).map(|node| fleet.callers(node)).collect();
+    tokio::spawn(poison::send(nodes, rng, Arc::clone(checker), Arc::clone(stop)))
+}
+
 /// Starts the nodes; `links` holds the proxies between nodes, by number of the node behind them.
 async fn start_nodes(
     options: &RunOptions,
@@ -199,7 +227,9 @@
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let (store_proxy, addr) = Proxy::start(any_port, settings.platform).await?;
         settings.platform = addr;
-        let (upstream_proxy, _) = Proxy::start(settings.upstream, member.upstream.addr).await?;
+        let down = member.upstream.down.subscribe();
+        let target = member.upstream.addr;
+        let upstream_proxy = Proxy::start_beside(settings.upstream, target, down).await?;
         let process = Process::start(&options.program, &options.folder, &settings)
             .wrap_err_with(|| format!("could not start {}", options.program.display()))?;
         nodes.push(Node {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -11,6 +11,7 @@
 use bbv_soak::calm::{BOUND, Disturbances, SETTLING_TIME};
 use bbv_soak::checker::Checker;
 use bbv_soak::cold;
+use bbv_soak::departures;
 use bbv_soak::faults::Fault;
 use bbv_soak::force::ForceMonitor;
 use bbv_soak::growth;
@@ -19,12 +20,13 @@
 use bbv_soak::memory::{self, MemoryMonitor};
 use bbv_soak::outages;
 use bbv_soak::pieces;
+use bbv_soak::poison;
 use bbv_soak::request;
 use bbv_soak::served::Served;
 use bbv_soak::store_faults;
 use bbv_soak::versions::{VersionMonitor, version_route};
 use bbv_stand::fleet::Fleet;
-use bbv_stand::upstream::{ReceivedRequest, Upstream};
+use bbv_stand::upstream::{POISON, ReceivedRequest, Upstream};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -524,3 +526,50 @@
         assert!(sizes.iter().any(|size| (least..=most).contains(size)), "{least} to {most}");
     }
 }
+
+/// Returns what is found if a request ends three upstreams one after the other and then runs `late` times
+/// more, some time after the third.
+async fn poison_violation(late: u32) -> Option<String> {
+    let (mut upstreams, mut nodes) = (Vec::new(), Vec::new());
+    for number in 0..3 {
+        let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+        let upstream = Upstream::start("i", addr).await;
+        let run = |at| ReceivedRequest {
+            at,
+            request_line: format!("POST /post/{POISON} HTTP/1.1"),
+            ..ReceivedRequest::default()
+        };
+        upstream.requests.lock().push(run(Duration::from_secs(number)));
+        if number == 0 {
+            let after = SETTLING_TIME + Duration::from_secs(3);
+            let times = (0..late).map(|late| after + Duration::from_millis(u64::from(late)));
+            upstream.requests.lock().extend(times.map(run));
+        }
+        upstreams.push(upstream);
+        nodes.push(Arc::new(Disturbances::since(Instant::now(), BOUND)));
+    }
+    poison::violation(&upstreams, &nodes)
+}
+
+/// A request that ends upstreams may run three times more once it has ended the third.
+#[tokio::test]
+async fn runs_of_a_request_that_ended_three_upstreams_are_found() {
+    assert_eq!(poison_violation(3).await, None);
+    assert!(poison_violation(4).await.is_some_and(|violation| violation.starts_with("4 runs")));
+}
+
+/// Upstreams leave within 1.2 s after a cut that outlasts their entries.
+#[test]
+fn departures_follow_a_cut() {
+    for seed in 0..50 {
+        let steps = departures::draw(&mut SmallRng::seed_from_u64(seed), 4, Duration::ZERO);
+        let end = steps[1].at;
+        assert!(end >= Duration::from_millis(4_600), "seed {seed}: a cut of {end:?}");
+        let is_departure = |step: &&Step| matches!(step.action, Action::Remove(_));
+        let departures: Vec<&Step> = steps.iter().filter(is_departure).collect();
+        assert_eq!(departures.len(), 3, "seed {seed}");
+        for step in departures {
+            assert!(step.at >= end && step.at <= end + Duration::from_millis(1_200));
+        }
+    }
+}
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -21,6 +21,8 @@
         zones: 2,
         site: false,
         drills: false,
+        cuts: false,
+        crashes: false,
         routes,
         memory: MEMORY_MB << 20,
         duration: Duration::from_secs(seconds),
@@ -88,3 +90,17 @@
     let run = options(&program::build(), 46_004, 10, 200);
     check(&RunOptions { memory: BUDGETED_MB << 20, ..run });
 }
+
+/// Upstreams leave right after nodes, or all, were cut off from the store; they were kept beyond the bound.
+#[test]
+fn upstreams_that_leave_right_after_a_cut_are_not_used() {
+    let cut = options(&program::build(), 52_010, 24, 0);
+    check(&RunOptions { nodes: 10, zones: 3, site: true, cuts: true, ..cut });
+}
+
+/// A request ends the upstreams that run it in the middle of the answer; it was never refused.
+#[test]
+fn request_that_ends_upstreams_is_refused_in_time() {
+    let crash = options(&program::build(), 52_030, 12, 0);
+    check(&RunOptions { nodes: 5, site: true, crashes: true, ..crash });
+}
